--- /dev/null
+++ b/internal/change/change.go
@@ -0,0 +1,85 @@
+// Package change applies one operator's change to a configuration.
+//
+// # Usage
+//
+//	next, version, err := change.Apply(current, c)
+//
+// The result is a new configuration of the next revision; the resource's
+// version is that revision, so versions are never used twice.
+package change
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/check"
+)
+
+// resource is what services, zones and rules have in common.
+type resource interface {
+	Name() string
+	Version() uint64
+}
+
+// Apply returns the configuration after a change and the resource's version. A
+// lost race returns lagoon.ErrConflict, wrapped, with the current version; a
+// faulty resource returns an error that lists all faults.
+func Apply(current lagoon.Config, c lagoon.Change) (lagoon.Config, uint64, error) {
+	next := current
+	next.SetRevision(current.Revision() + 1)
+	var version uint64
+	var err error
+	switch c.Kind() {
+	case "service":
+		s := c.Service()
+		s.SetVersion(next.Revision())
+		var list []lagoon.Service
+		list, version, err = replace(current.Services(), s, c)
+		next.SetServices(list)
+	case "zone":
+		z := c.Zone()
+		z.SetVersion(next.Revision())
+		var list []lagoon.Zone
+		list, version, err = replace(current.Zones(), z, c)
+		next.SetZones(list)
+	case "rule":
+		r := c.Rule()
+		r.SetVersion(next.Revision())
+		var list []lagoon.Rule
+		list, version, err = replace(current.Rules(), r, c)
+		next.SetRules(list)
+	default:
+		return current, 0, errors.Errorf("kind %q is unknown; allowed are service, zone and rule", c.Kind())
+	}
+	if err != nil {
+		return current, version, err
+	}
+	if faults := check.Config(next); len(faults) > 0 {
+		return current, version, check.Join(faults)
+	}
+	return next, version, nil
+}
+
+// replace puts a resource into a list, or takes it out.
+func replace[R resource](list []R, r R, c lagoon.Change) ([]R, uint64, error) {
+	out := make([]R, 0, len(list)+1)
+	var before uint64
+	for _, x := range list {
+		if x.Name() == r.Name() {
+			before = x.Version()
+			continue
+		}
+		out = append(out, x)
+	}
+	if before != c.IfVersion() {
+		return nil, before, errors.Wrapf(lagoon.ErrConflict, "%s %q has version %d, the change was made for version %d", c.Kind(), r.Name(), before, c.IfVersion())
+	}
+	if c.Remove() {
+		return out, 0, nil
+	}
+	out = append(out, r)
+	sort.Slice(out, func(i, j int) bool { return out[i].Name() < out[j].Name() })
+	return out, r.Version(), nil
+}
--- /dev/null
+++ b/internal/cmds/cmds.go
@@ -0,0 +1,163 @@
+// Package cmds is the command line of lagoontrail.
+//
+// # Usage
+//
+//	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
+//
+// Every command has --help with an example. The exit code is 0 on success, 1
+// when the command failed or a promise was broken, 2 when it was called wrongly.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoontrail/lagoon/internal/node"
+	"github.com/lagoontrail/lagoon/internal/sets"
+)
+
+// Version is the version of this program.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errFailed says that a command has already printed why it failed.
+var errFailed = errors.New("failed")
+
+// Run runs one command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	var usage usageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(errOut, "lagoontrail:", err)
+		return exitUsage
+	case !errors.Is(err, errFailed):
+		fmt.Fprintln(errOut, "lagoontrail:", err)
+	}
+	return exitFailed
+}
+
+// usageError marks errors in how a command was called.
+type usageError struct{ error }
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "lagoontrail",
+		Short:         "A query tier over many shards",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Example:       "  lagoontrail demo\n  lagoontrail node --config node.json",
+	}
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	c.AddCommand(nodeCommand(), checkCommand(), standinCommand(), versionCommand(), demoCommand(), benchCommand())
+	c.AddCommand(operatorCommands()...)
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Example: "  lagoontrail version", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "lagoontrail", Version)
+			return err
+		},
+	}
+}
+
+func nodeCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use: "node", Short: "Run one node until it is told to stop", Example: "  lagoontrail node --config examples/tour/node-1.json", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := readSettings(path, c.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			return runNode(c.Context(), s, c.ErrOrStderr())
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "the file with the settings, in JSON")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+// readSettings reads settings and prints all their faults.
+func readSettings(path string, errOut io.Writer) (*sets.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the settings")
+	}
+	s, faults := sets.Read(data)
+	if len(faults) == 0 {
+		return s, nil
+	}
+	for _, f := range faults {
+		fmt.Fprintf(errOut, "%s: %s\n", path, f)
+	}
+	return nil, errFailed
+}
+
+func runNode(ctx context.Context, s *sets.Settings, errOut io.Writer) error {
+	log := logrus.New()
+	log.SetOutput(errOut)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(s.LogLevel())
+	if err != nil {
+		return errors.Wrap(err, "log_level")
+	}
+	log.SetLevel(level)
+	n, stop, err := node.New(s, log, nil)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	log.WithFields(logrus.Fields{"node": s.Name(), "listen": s.Listen(), "version": Version}).Info("node started")
+	err = n.Serve(ctx)
+	log.WithField("node", s.Name()).Info("node stopped")
+	return err
+}
+
+func checkCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use: "check [RESOURCES.json ...]", Short: "Check settings and resources without starting", Example: "  lagoontrail check --config node.json examples/nordlys/resources.json",
+		RunE: func(c *cobra.Command, args []string) error {
+			if path == "" && len(args) == 0 {
+				return usageError{errors.New("check: name settings with --config, or files of resources")}
+			}
+			if path != "" {
+				if _, err := readSettings(path, c.ErrOrStderr()); err != nil {
+					return err
+				}
+			}
+			if err := checkResources(args, c.ErrOrStderr()); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), "no faults")
+			return err
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "the file with the settings, in JSON")
+	return c
+}
--- /dev/null
+++ b/internal/cmds/operate.go
@@ -0,0 +1,371 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/change"
+	"github.com/lagoontrail/lagoon/internal/opcli"
+	"github.com/lagoontrail/lagoon/internal/wire"
+	"github.com/lagoontrail/lagoon/pkg/caller"
+)
+
+// operatorFlags are the flags of commands that talk to a node.
+type operatorFlags struct {
+	addr   string
+	output string
+}
+
+func (f *operatorFlags) register(c *cobra.Command) {
+	c.Flags().StringVar(&f.addr, "addr", "127.0.0.1:7101", "the address of any node")
+	c.Flags().StringVarP(&f.output, "output", "o", "table", "how to print: json or table")
+}
+
+func (f *operatorFlags) client() (*opcli.Client, error) {
+	if f.output != "json" && f.output != "table" {
+		return nil, usageError{errors.Errorf("-o is %q; allowed are json and table", f.output)}
+	}
+	return opcli.New(f.addr), nil
+}
+
+func operatorCommands() []*cobra.Command {
+	return []*cobra.Command{getCommand(), applyCommand(), watchCommand(), queryCommand(), explainCommand(), zoneCommand(), actionsCommand()}
+}
+
+func getCommand() *cobra.Command {
+	var f operatorFlags
+	c := &cobra.Command{
+		Use: "get [status|service|zone|rule [NAME]]", Short: "Show resources, or what a node knows", Example: "  lagoontrail get status\n  lagoontrail get zone cph-1 -o json", Args: cobra.MaximumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			path := "/v1/resources"
+			switch {
+			case len(args) == 0:
+			case args[0] == "status":
+				path = "/v1/status"
+			case len(args) == 1:
+				path += "?kind=" + args[0]
+			default:
+				path += "/" + args[0] + "/" + args[1]
+			}
+			data, err := client.Get(c.Context(), path)
+			if err != nil {
+				return err
+			}
+			return show(c.OutOrStdout(), f.output, data)
+		},
+	}
+	f.register(c)
+	return c
+}
+
+// resourceFile is a file of resources: each kind with its items.
+type resourceFile struct {
+	Zones    []json.RawMessage `json:"zones"`
+	Services []json.RawMessage `json:"services"`
+	Rules    []json.RawMessage `json:"rules"`
+}
+
+// items returns the resources in the order in which they can be applied.
+func (r resourceFile) items() []resourceItem {
+	var out []resourceItem
+	add := func(kind string, list []json.RawMessage) {
+		for _, raw := range list {
+			var head struct {
+				Name string `json:"name"`
+			}
+			_ = json.Unmarshal(raw, &head) // a missing name is refused by the check
+			out = append(out, resourceItem{kind, head.Name, raw})
+		}
+	}
+	add("zone", r.Zones)
+	add("service", r.Services)
+	add("rule", r.Rules)
+	return out
+}
+
+type resourceItem struct {
+	kind, name string
+	raw        json.RawMessage
+}
+
+func readResources(path string) (resourceFile, error) {
+	var r resourceFile
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return r, errors.Wrap(err, "read the resources")
+	}
+	d := json.NewDecoder(strings.NewReader(string(data)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&r); err != nil {
+		return r, errors.Wrapf(err, "%s: a JSON object with zones, services and rules is expected", path)
+	}
+	return r, nil
+}
+
+// checkResources applies the files to an empty configuration and prints what
+// is refused.
+func checkResources(paths []string, errOut io.Writer) error {
+	var c lagoon.Config
+	failed := false
+	for _, path := range paths {
+		r, err := readResources(path)
+		if err != nil {
+			return err
+		}
+		for _, item := range r.items() {
+			ch, err := wire.Codec{}.DecodeChange(item.kind, item.name, item.raw)
+			if err == nil {
+				var next lagoon.Config
+				if next, _, err = change.Apply(c, ch); err == nil {
+					c = next
+					continue
+				}
+			}
+			failed = true
+			fmt.Fprintf(errOut, "%s: %s %q: %v\n", path, item.kind, item.name, err)
+		}
+	}
+	if failed {
+		return errFailed
+	}
+	return nil
+}
+
+func applyCommand() *cobra.Command {
+	var f operatorFlags
+	c := &cobra.Command{
+		Use: "apply FILE", Short: "Declare the resources of a file, each if its version is still current", Example: "  lagoontrail apply examples/tour/resources.json", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			r, err := readResources(args[0])
+			if err != nil {
+				return err
+			}
+			for _, item := range r.items() {
+				reply, err := client.Apply(c.Context(), item.kind, item.name, item.raw)
+				if err != nil {
+					return errors.Wrapf(err, "%s %s", item.kind, item.name)
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s %s: %s\n", item.kind, item.name, reply)
+			}
+			return nil
+		},
+	}
+	f.register(c)
+	return c
+}
+
+func zoneCommand() *cobra.Command {
+	c := &cobra.Command{Use: "zone", Short: "Take a zone out, or bring it back", Example: "  lagoontrail zone take-out cph-2 --reason 'switch maintenance'"}
+	for use, state := range map[string]string{"take-out ZONE": "out", "bring-back ZONE": "in"} {
+		var f operatorFlags
+		var reason string
+		sub := &cobra.Command{
+			Use: use, Short: "Declare the zone " + state, Example: "  lagoontrail zone " + strings.Fields(use)[0] + " cph-2 --reason 'switch maintenance'", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				client, err := f.client()
+				if err != nil {
+					return err
+				}
+				reply, err := client.SetZone(c.Context(), args[0], state, reason)
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprintf(c.OutOrStdout(), "zone %s is declared %s: %s\n", args[0], state, reply)
+				return err
+			},
+		}
+		sub.Flags().StringVar(&reason, "reason", "", "why, for the people who read the actions")
+		_ = sub.MarkFlagRequired("reason")
+		f.register(sub)
+		c.AddCommand(sub)
+	}
+	return c
+}
+
+func watchCommand() *cobra.Command {
+	var f operatorFlags
+	c := &cobra.Command{
+		Use: "watch", Short: "Print each accepted configuration and each action as they come", Example: "  lagoontrail watch", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			return follow(c, client, f.output)
+		},
+	}
+	f.register(c)
+	return c
+}
+
+// actionList is the reply with actions.
+type actionList struct {
+	Actions []struct {
+		Seq     uint64    `json:"seq"`
+		At      time.Time `json:"at"`
+		Node    string    `json:"node"`
+		Kind    string    `json:"kind"`
+		Subject string    `json:"subject"`
+		Reason  string    `json:"reason"`
+	} `json:"actions"`
+}
+
+// followEvery is the time between two looks for new actions.
+const followEvery = 500 * time.Millisecond
+
+func follow(c *cobra.Command, client *opcli.Client, output string) error {
+	after := uint64(0)
+	for {
+		data, err := client.Get(c.Context(), "/v1/actions?after="+strconv.FormatUint(after, 10))
+		if err != nil && c.Context().Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var list actionList
+		if err := json.Unmarshal(data, &list); err != nil {
+			return errors.Wrap(err, "read the actions")
+		}
+		for _, a := range list.Actions {
+			after = max(after, a.Seq)
+			line := fmt.Sprintf("%s %s %s %s: %s", a.At.Format("15:04:05.000"), a.Node, a.Kind, a.Subject, a.Reason)
+			if output == "json" {
+				raw, _ := json.Marshal(a) // a struct of strings and numbers
+				line = string(raw)
+			}
+			fmt.Fprintln(c.OutOrStdout(), line)
+		}
+		select {
+		case <-c.Context().Done():
+			return nil
+		case <-time.After(followEvery):
+		}
+	}
+}
+
+func actionsCommand() *cobra.Command {
+	var f operatorFlags
+	c := &cobra.Command{
+		Use: "actions", Short: "Show the actions of a node with their reasons", Example: "  lagoontrail actions --addr 127.0.0.1:7101", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			data, err := client.Get(c.Context(), "/v1/actions")
+			if err != nil {
+				return err
+			}
+			return show(c.OutOrStdout(), f.output, data)
+		},
+	}
+	f.register(c)
+	return c
+}
+
+func explainCommand() *cobra.Command {
+	var f operatorFlags
+	c := &cobra.Command{
+		Use: "explain QUERY_ID | explain server|zone|node|service NAME", Short: "Tell what was done, and why", Example: "  lagoontrail explain 7e6f1c52-0d6e-4d2c-9a51-4c2f7d7a0b11\n  lagoontrail explain zone cph-2", Args: cobra.RangeArgs(1, 2),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			if len(args) == 1 {
+				args = []string{"query", args[0]}
+			}
+			data, err := client.Get(c.Context(), "/v1/explain/"+args[0]+"/"+args[1])
+			if err != nil {
+				return err
+			}
+			return show(c.OutOrStdout(), f.output, data)
+		},
+	}
+	f.register(c)
+	return c
+}
+
+func queryCommand() *cobra.Command {
+	var f operatorFlags
+	var q lagoon.Query
+	var body, id string
+	var timeout time.Duration
+	var write bool
+	var coverage float64
+	c := &cobra.Command{
+		Use: "query SERVICE", Short: "Ask one query", Example: "  lagoontrail query archive-desk --body 'red coat 2019'\n  lagoontrail query casting-book --write --body 'model 7'", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := f.client(); err != nil {
+				return err
+			}
+			client, stop := caller.New("", f.addr)
+			defer stop()
+			if id == "" {
+				id = client.NewID()
+			}
+			q.SetID(id)
+			q.SetService(args[0])
+			q.SetBody([]byte(body))
+			q.SetTimeout(timeout)
+			q.SetIdempotent(!write)
+			q.SetMinCoverage(coverage)
+			a, err := client.Query(c.Context(), q)
+			if err != nil {
+				return err
+			}
+			if err := show(c.OutOrStdout(), f.output, wire.Codec{}.EncodeAnswer(a)); err != nil {
+				return err
+			}
+			if a.Outcome() != lagoon.OutcomeAnswered {
+				return errFailed
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&body, "body", "", "the request body")
+	c.Flags().StringVar(&id, "id", "", "the request id; a new one when left out")
+	c.Flags().DurationVar(&timeout, "timeout", 0, "how long to wait; 0 takes the rule's deadline")
+	c.Flags().BoolVar(&write, "write", false, "the request is not idempotent and runs at most once")
+	c.Flags().Float64Var(&coverage, "min-coverage", 0, "the smallest share of shards accepted; 0 takes the rule's")
+	f.register(c)
+	return c
+}
+
+// show prints a reply as JSON or as a table.
+func show(out io.Writer, output string, data []byte) error {
+	var v any
+	if err := json.Unmarshal(data, &v); err != nil {
+		return errors.Wrap(err, "read the reply")
+	}
+	if output == "json" {
+		pretty, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(out, string(pretty))
+		return err
+	}
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	opcli.Table(t, v)
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/ctrl/ctrl.go
@@ -0,0 +1,39 @@
+// Package ctrl lists the control systems in the order in which they run.
+//
+// # Usage
+//
+//	w.SetSystems(ctrl.Systems())
+//
+// docs/DESIGN.md lists what each reads and writes.
+package ctrl
+
+import (
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/ctrl/accept"
+	"github.com/lagoontrail/lagoon/internal/ctrl/keeper"
+	"github.com/lagoontrail/lagoon/internal/ctrl/owner"
+	"github.com/lagoontrail/lagoon/internal/ctrl/place"
+	"github.com/lagoontrail/lagoon/internal/ctrl/probe"
+	"github.com/lagoontrail/lagoon/internal/ctrl/publsh"
+	"github.com/lagoontrail/lagoon/internal/ctrl/receiv"
+	"github.com/lagoontrail/lagoon/internal/ctrl/spread"
+	"github.com/lagoontrail/lagoon/internal/ctrl/stand"
+	"github.com/lagoontrail/lagoon/internal/ctrl/watchr"
+	"github.com/lagoontrail/lagoon/internal/world"
+)
+
+// Systems returns a fresh list of the control systems for one node.
+func Systems() []lagoon.System[*world.World] {
+	return []lagoon.System[*world.World]{
+		receiv.System{},
+		&stand.System{},
+		owner.System{},
+		probe.System{},
+		place.System{},
+		watchr.System{},
+		keeper.System{},
+		spread.System{},
+		accept.System{},
+		publsh.System{},
+	}
+}
--- /dev/null
+++ b/internal/ctrl/owner/owner.go
@@ -0,0 +1,74 @@
+// Package owner decides for which servers this node admits.
+//
+// # Usage
+//
+//	systems = append(systems, owner.System{})
+//
+// It reads the placement and writes servers. A server that was assigned anew is
+// used only once the previous owner has said that it gave the server up, or
+// its lease has surely ended.
+package owner
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/ctrl/receiv"
+	"github.com/lagoontrail/lagoon/internal/ctrl/stand"
+	"github.com/lagoontrail/lagoon/internal/srvrs"
+	"github.com/lagoontrail/lagoon/internal/world"
+)
+
+// System decides on ownership.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "owner" }
+
+// Run brings every server up to the placement.
+func (s System) Run(w *world.World, now time.Duration) {
+	inForce := stand.InForce(w, now)
+	for _, a := range w.Placement().Owners() {
+		if row, ok := w.Servers().Find(a.Server()); ok {
+			s.update(w, row, a, inForce)
+		}
+	}
+}
+
+func (System) update(w *world.World, row *srvrs.Row, a lagoon.Assignment, inForce bool) {
+	mine := a.Owner() == w.Self().Name() && a.Start() == w.Self().Start()
+	if row.Mine() && !mine {
+		row.SetGiving(true)
+		row.SetActing(false)
+		w.Act("server_given_up", a.Server(), "the placement names "+a.Owner()+" as its owner")
+	}
+	if mine && !row.Mine() {
+		row.SetGiving(false)
+		var status lagoon.ServerStatus
+		status.SetServer(a.Server())
+		row.SetStatus(status)
+	}
+	if row.Assignment().Owner() != a.Owner() || row.Assignment().Start() != a.Start() {
+		status := row.Status()
+		status.SetUp(status.Up() && !mine)
+		row.SetStatus(status)
+	}
+	row.SetAssignment(a)
+	row.SetMine(mine)
+	acting := mine && (inForce || row.Freed() || a.Since() < w.Placement().Version())
+	if acting && !row.Acting() {
+		w.Act("server_taken", a.Server(), why(row, inForce))
+		receiv.Changed(w, row)
+	}
+	row.SetActing(acting)
+}
+
+func why(row *srvrs.Row, inForce bool) string {
+	switch {
+	case row.Freed():
+		return "the previous owner has given it up"
+	case inForce:
+		return "the previous owner's lease has ended"
+	}
+	return "this node has owned it since before the latest placement"
+}
--- /dev/null
+++ b/internal/ctrl/publsh/publsh.go
@@ -0,0 +1,174 @@
+// Package publsh publishes the view that the traffic lanes read.
+//
+// # Usage
+//
+//	systems = append(systems, publsh.System{})
+//
+// It reads all control tables and writes none. A view is built per tick; the
+// lanes load it by one atomic pointer.
+package publsh
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/srvrs"
+	"github.com/lagoontrail/lagoon/internal/srvvw"
+	"github.com/lagoontrail/lagoon/internal/svcvw"
+	"github.com/lagoontrail/lagoon/internal/view"
+	"github.com/lagoontrail/lagoon/internal/world"
+	"github.com/lagoontrail/lagoon/pkg/claim"
+)
+
+// System publishes views.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "publsh" }
+
+// Run publishes a view of the tables.
+func (s System) Run(w *world.World, now time.Duration) {
+	v := &view.View{}
+	v.SetSelf(w.Self().Name())
+	v.SetStart(w.Self().Start())
+	v.SetZone(w.Self().Zone())
+	v.SetLeaseUntil(w.Lease())
+	v.SetStopping(w.Refusing())
+	v.SetConfig(w.Config().Revision())
+	v.SetPlacement(w.Placement().Version())
+	v.SetPeers(s.peers(w))
+	v.SetKeepers(s.keepers(w, now))
+	s.servers(w, v, now)
+	s.services(w, v)
+	w.Current().Store(v)
+}
+
+func (System) peers(w *world.World) map[string]string {
+	peers := make(map[string]string, w.Nodes().Len())
+	for i := range w.Nodes().Len() {
+		peers[w.Nodes().Key(i)] = w.Nodes().At(i).Member().Addr()
+	}
+	return peers
+}
+
+// keepers returns the address of the keeper of each claim bucket, chosen among
+// the live members by the highest hash.
+func (System) keepers(w *world.World, now time.Duration) []string {
+	var live []lagoon.Member
+	for _, m := range w.Placement().Members() {
+		if w.Live(m.Name(), now) {
+			live = append(live, m)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	out := make([]string, claim.Buckets)
+	for b := range out {
+		best := live[0]
+		for _, m := range live[1:] {
+			if weight(m, b) > weight(best, b) {
+				best = m
+			}
+		}
+		if best.Name() != w.Self().Name() {
+			out[b] = best.Addr()
+		}
+	}
+	return out
+}
+
+func weight(m lagoon.Member, bucket int) uint64 {
+	return xxhash.Sum64String(m.Name() + "/" + string(rune('A'+bucket)))
+}
+
+func (s System) servers(w *world.World, v *view.View, now time.Duration) {
+	n := w.Servers().Len()
+	list := make([]srvvw.Row, n)
+	index := make(map[string]int, n)
+	for i := range n {
+		s.server(w, &list[i], w.Servers().At(i), now)
+		index[list[i].Name()] = i
+	}
+	v.SetServers(list)
+	v.SetIndex(index)
+}
+
+func (System) server(w *world.World, out *srvvw.Row, row *srvrs.Row, now time.Duration) {
+	spec, a, status := row.Spec(), row.Assignment(), row.Status()
+	out.SetName(spec.Name())
+	out.SetAddr(spec.Addr())
+	out.SetZone(spec.Zone())
+	out.SetService(row.Service())
+	out.SetSlots(spec.Slots())
+	out.SetConns(spec.Conns())
+	out.SetOwner(a.Owner())
+	out.SetMine(row.Mine())
+	out.SetActing(row.Acting())
+	out.SetSince(a.Since())
+	out.SetUp(status.Up())
+	out.SetDraining(status.Draining())
+	out.SetEjected(status.Ejected())
+	out.SetStart(status.Start())
+	out.SetSnapshots(status.Snapshots())
+	out.SetLimit(status.Limit())
+	out.SetLoad(status.Load())
+	out.SetLatency(status.Latency())
+	out.SetOwnerLive(w.Live(a.Owner(), now))
+	if n, ok := w.Nodes().Find(a.Owner()); ok {
+		out.SetOwnerAddr(n.Member().Addr())
+		out.SetOwnerZone(n.Member().Zone())
+	}
+	if row.Mine() {
+		out.SetOwnerZone(w.Self().Zone())
+	}
+	if z, ok := w.Zones().Find(spec.Zone()); ok {
+		out.SetOut(z.Out())
+		out.SetOutVer(z.Version())
+	}
+}
+
+func (s System) services(w *world.World, v *view.View) {
+	n := w.Services().Len()
+	list := make([]svcvw.Row, n)
+	index := make(map[string]int, n)
+	for i := range n {
+		row := w.Services().At(i)
+		s.service(v, &list[i], row.Service())
+		list[i].SetRule(row.Rule())
+		index[list[i].Name()] = i
+	}
+	v.SetServices(list)
+	v.SetSvcIndex(index)
+}
+
+func (System) service(v *view.View, out *svcvw.Row, svc lagoon.Service) {
+	out.SetName(svc.Name())
+	out.SetMapVersion(svc.MapVersion())
+	position := map[string]int{}
+	var groups [][]int
+	groupOf := func(name string) int {
+		g, ok := position[name]
+		if !ok {
+			g = len(groups)
+			position[name] = g
+			groups = append(groups, nil)
+		}
+		return g
+	}
+	for _, spec := range svc.Servers() {
+		g := groupOf(spec.Group())
+		groups[g] = append(groups[g], v.Index()[spec.Name()])
+	}
+	shards := make([]uint32, len(svc.Shards()))
+	of := make([]int, len(svc.Shards()))
+	for i, shard := range svc.Shards() {
+		shards[i] = shard.ID()
+		of[i] = groupOf(shard.Group())
+	}
+	out.SetShards(shards)
+	out.SetGroupOf(of)
+	out.SetGroups(groups)
+}
--- /dev/null
+++ b/internal/htapi/status.go
@@ -0,0 +1,139 @@
+package htapi
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+
+	"github.com/lagoontrail/lagoon/internal/srvrs"
+	"github.com/lagoontrail/lagoon/internal/world"
+)
+
+// statusForm is what a node knows, in JSON.
+type statusForm struct {
+	Node      string       `json:"node"`
+	Zone      string       `json:"zone"`
+	Revision  uint64       `json:"config_revision"`
+	Placement uint64       `json:"placement_version"`
+	InForce   bool         `json:"placement_settled"`
+	LeaseMS   int64        `json:"lease_left_ms"`
+	Stopping  bool         `json:"stopping"`
+	Nodes     []nodeForm   `json:"nodes"`
+	Servers   []serverForm `json:"servers"`
+	Zones     []zoneForm   `json:"zones"`
+}
+
+type nodeForm struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Addr    string `json:"addr"`
+	HeardMS int64  `json:"heard_ms_ago"`
+	Leaving bool   `json:"leaving"`
+	Ready   bool   `json:"ready"`
+}
+
+type serverForm struct {
+	Name     string `json:"name"`
+	Service  string `json:"service"`
+	Zone     string `json:"zone"`
+	Owner    string `json:"owner"`
+	State    string `json:"state"`
+	Limit    int    `json:"limit"`
+	Slots    int    `json:"slots"`
+	Load     int    `json:"load"`
+	StartID  uint64 `json:"start_id"`
+	Acting   bool   `json:"this_node_admits"`
+	Snapshot string `json:"newest_snapshot"`
+}
+
+type zoneForm struct {
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	Reason string `json:"reason"`
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+	var f statusForm
+	if !a.control.Do(func(c *world.World) { f = statusOfWorld(c) }) {
+		fail(w, http.StatusServiceUnavailable, "the node has stopped")
+		return
+	}
+	writeJSON(w, http.StatusOK, f)
+}
+
+func statusOfWorld(c *world.World) statusForm {
+	now := c.Clock().Now()
+	f := statusForm{
+		Node: c.Self().Name(), Zone: c.Self().Zone(), Revision: c.Config().Revision(),
+		Placement: c.Placement().Version(), InForce: c.SettledAt() > 0,
+		LeaseMS: max(c.Lease()-now, 0).Milliseconds(), Stopping: c.Stopping() > 0,
+		Nodes: []nodeForm{}, Servers: []serverForm{}, Zones: []zoneForm{},
+	}
+	for i := range c.Nodes().Len() {
+		n := c.Nodes().At(i)
+		f.Nodes = append(f.Nodes, nodeForm{c.Nodes().Key(i), n.Member().Zone(), n.Member().Addr(), (now - n.Heard()).Milliseconds(), n.Leaving(), n.Ready()})
+	}
+	for i := range c.Servers().Len() {
+		f.Servers = append(f.Servers, serverState(c, c.Servers().At(i)))
+	}
+	for i := range c.Zones().Len() {
+		f.Zones = append(f.Zones, zoneState(c, i))
+	}
+	sort.Slice(f.Nodes, func(i, j int) bool { return f.Nodes[i].Name < f.Nodes[j].Name })
+	sort.Slice(f.Servers, func(i, j int) bool { return f.Servers[i].Name < f.Servers[j].Name })
+	return f
+}
+
+func serverState(c *world.World, row *srvrs.Row) serverForm {
+	status := row.Status()
+	f := serverForm{
+		Name: row.Spec().Name(), Service: row.Service(), Zone: row.Spec().Zone(), Owner: row.Assignment().Owner(),
+		State: "up", Limit: status.Limit(), Slots: row.Spec().Slots(), Load: status.Load(), StartID: status.Start(), Acting: row.Acting(),
+	}
+	if n := len(status.Snapshots()); n > 0 {
+		s := status.Snapshots()[n-1]
+		f.Snapshot = fmt.Sprintf("%d.%d", s.Map(), s.Index())
+	}
+	switch {
+	case zoneOut(c, row.Spec().Zone()):
+		f.State = "zone_out"
+	case row.Assignment().Owner() == "":
+		f.State = "no_owner"
+	case status.Ejected():
+		f.State = "ejected"
+	case status.Draining():
+		f.State = "draining"
+	case !status.Up():
+		f.State = "down"
+	}
+	return f
+}
+
+func zoneState(c *world.World, i int) zoneForm {
+	z := c.Zones().At(i)
+	state := "in"
+	if z.Out() {
+		state = "out"
+	}
+	return zoneForm{c.Zones().Key(i), state, z.Reason()}
+}
+
+// stateOf returns the state of one server or zone, or nil.
+func stateOf(c *world.World, kind, name string) any {
+	if kind == "server" {
+		if row, ok := c.Servers().Find(name); ok {
+			return serverState(c, row)
+		}
+		return nil
+	}
+	for i := range c.Zones().Len() {
+		if c.Zones().Key(i) == name {
+			return zoneState(c, i)
+		}
+	}
+	return nil
+}
+
+func sortActions(out []actionForm) {
+	sort.Slice(out, func(i, j int) bool { return out[i].Seq < out[j].Seq })
+}
--- /dev/null
+++ b/internal/opcli/opcli.go
@@ -0,0 +1,220 @@
+// Package opcli is the client of the operators' API for the command line.
+//
+// # Usage
+//
+//	c := opcli.New("127.0.0.1:7101")
+//	data, err := c.Get(ctx, "/v1/status")
+//	reply, err := c.SetZone(ctx, "cph-2", "out", "switch maintenance")
+package opcli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of calls.
+const (
+	callLimit = 20 * time.Second
+	maxReply  = 16 << 20 // bytes
+)
+
+// Client calls one node. Make it with New.
+type Client struct {
+	addr string
+	http *http.Client
+}
+
+// New returns a client of the node at addr.
+func New(addr string) *Client {
+	return &Client{addr: addr, http: &http.Client{Timeout: callLimit}}
+}
+
+// Get reads a path.
+func (c *Client) Get(ctx context.Context, path string) ([]byte, error) {
+	status, data, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, problem(status, data)
+	}
+	return data, nil
+}
+
+// Apply declares a resource, based on the version that the node has now.
+func (c *Client) Apply(ctx context.Context, kind, name string, body []byte) (string, error) {
+	version, _, err := c.current(ctx, kind, name)
+	if err != nil {
+		return "", err
+	}
+	return c.put(ctx, kind, name, version, body)
+}
+
+// SetZone declares the state of a zone that exists.
+func (c *Client) SetZone(ctx context.Context, zone, state, reason string) (string, error) {
+	version, found, err := c.current(ctx, "zone", zone)
+	if err != nil {
+		return "", err
+	}
+	if !found {
+		return "", errors.Errorf("zone %s is not declared", zone)
+	}
+	body, err := json.Marshal(map[string]string{"state": state, "reason": reason})
+	if err != nil {
+		return "", errors.Wrap(err, "zone")
+	}
+	return c.put(ctx, "zone", zone, version, body)
+}
+
+// current returns the version of a resource and whether it is declared.
+func (c *Client) current(ctx context.Context, kind, name string) (uint64, bool, error) {
+	status, data, err := c.call(ctx, http.MethodGet, "/v1/resources/"+kind+"/"+name, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	if status == http.StatusNotFound {
+		return 0, false, nil
+	}
+	var head struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return 0, false, errors.Wrap(err, "read the resource")
+	}
+	return head.Version, true, nil
+}
+
+func (c *Client) put(ctx context.Context, kind, name string, version uint64, body []byte) (string, error) {
+	path := fmt.Sprintf("/v1/resources/%s/%s?if_version=%d", kind, name, version)
+	status, data, err := c.call(ctx, http.MethodPut, path, body)
+	if err != nil {
+		return "", err
+	}
+	if status != http.StatusOK {
+		return "", problem(status, data)
+	}
+	var reply struct {
+		Version   uint64 `json:"version"`
+		InForce   bool   `json:"in_force"`
+		InForceMS int64  `json:"in_force_ms"`
+	}
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return "", errors.Wrap(err, "read the reply")
+	}
+	if !reply.InForce {
+		return fmt.Sprintf("accepted as version %d, not yet known to be in force everywhere", reply.Version), nil
+	}
+	return fmt.Sprintf("accepted as version %d, in force everywhere after %d ms", reply.Version, reply.InForceMS), nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "call the node")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "call the node")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	return resp.StatusCode, data, errors.Wrap(err, "read the reply")
+}
+
+func problem(status int, data []byte) error {
+	var reply struct {
+		Error   string `json:"error"`
+		Current uint64 `json:"current_version"`
+	}
+	if err := json.Unmarshal(data, &reply); err != nil || reply.Error == "" {
+		return errors.Errorf("the node answered with status %d", status)
+	}
+	if status == http.StatusConflict {
+		return errors.Errorf("%s; read it again and decide anew (current version %d)", reply.Error, reply.Current)
+	}
+	return errors.New(reply.Error)
+}
+
+// Table prints a JSON value: objects as lines of name and value, lists of
+// objects as rows under a heading.
+func Table(out io.Writer, v any) {
+	object, ok := v.(map[string]any)
+	if !ok {
+		fmt.Fprintln(out, text(v))
+		return
+	}
+	var lists []string
+	for _, k := range keys(object) {
+		if list, ok := object[k].([]any); ok && len(list) > 0 {
+			lists = append(lists, k)
+			continue
+		}
+		fmt.Fprintf(out, "%s\t%s\n", k, text(object[k]))
+	}
+	for _, k := range lists {
+		fmt.Fprintf(out, "\n%s\n", strings.ToUpper(k))
+		rows(out, object[k].([]any))
+	}
+}
+
+func rows(out io.Writer, list []any) {
+	first, ok := list[0].(map[string]any)
+	if !ok {
+		fmt.Fprintln(out, text(list))
+		return
+	}
+	columns := keys(first)
+	fmt.Fprintln(out, strings.Join(columns, "\t"))
+	for _, row := range list {
+		object, _ := row.(map[string]any)
+		cells := make([]string, len(columns))
+		for i, c := range columns {
+			cells[i] = text(object[c])
+		}
+		fmt.Fprintln(out, strings.Join(cells, "\t"))
+	}
+}
+
+// maxCell bounds the text of one cell.
+const maxCell = 160
+
+func text(v any) string {
+	if s, ok := v.(string); ok {
+		return s
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprint(v)
+	}
+	if len(data) > maxCell {
+		return string(data[:maxCell]) + "..."
+	}
+	return string(data)
+}
+
+func keys(m map[string]any) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
+	return out
+}
+
+// rank orders the columns that people look for first.
+func rank(column string) string {
+	order := map[string]string{"at": "0", "id": "1", "name": "1", "node": "2", "kind": "3", "outcome": "3", "subject": "4", "state": "4", "reason": "~"}
+	if r, ok := order[column]; ok {
+		return r
+	}
+	return "5" + column
+}
--- /dev/null
+++ b/internal/trfc/expire/expire.go
@@ -0,0 +1,52 @@
+// Package expire ends queries whose callers stop waiting.
+//
+// # Usage
+//
+//	systems = append(systems, expire.System{})
+//
+// It writes queries. A shard without an answer is reported as not covered; a
+// non-idempotent query with a request under way ends as unknown.
+package expire
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/due"
+	"github.com/lagoontrail/lagoon/internal/lane"
+	"github.com/lagoontrail/lagoon/internal/qrys"
+)
+
+// System ends queries at their deadline.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "expire" }
+
+// Run ends the queries whose deadline has come.
+func (s System) Run(l *lane.Lane, now time.Duration) {
+	for _, id := range l.DueRows(due.Query) {
+		q, ok := l.Queries().Resolve(id)
+		if !ok || q.State() == qrys.Ended || q.Deadline() > now {
+			continue
+		}
+		s.expire(l, id, q)
+	}
+}
+
+func (System) expire(l *lane.Lane, id lagoon.RowID, q *qrys.Row) {
+	if q.State() == qrys.Claiming {
+		q.SetDecided(true)
+		q.SetOutcome(lagoon.OutcomeNotRun)
+		q.SetReason("the claim on the request id was not recorded before the deadline")
+	}
+	for shard := range q.Shards() {
+		if !q.Done()[shard] {
+			q.Done()[shard] = true
+			q.Reasons()[shard] = "no answer before the deadline"
+			q.SetOpen(q.Open() - 1)
+		}
+	}
+	q.SetState(qrys.Ended)
+	l.Finish(id)
+}
--- /dev/null
+++ b/internal/trfc/gather/gather.go
@@ -0,0 +1,221 @@
+// Package gather collects the outcomes of legs into their queries.
+//
+// # Usage
+//
+//	systems = append(systems, &gather.System{})
+//
+// It writes queries, legs, loads and the latencies of the service table. A leg
+// that surely did not run, or that may run twice, is sent to another replica
+// while the retry budget and the deadline allow. Late and repeated outcomes are
+// ignored: a shard is counted once.
+package gather
+
+import (
+	"slices"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/lane"
+	"github.com/lagoontrail/lagoon/internal/legs"
+	"github.com/lagoontrail/lagoon/internal/qrys"
+	"github.com/lagoontrail/lagoon/internal/svcst"
+	"github.com/lagoontrail/lagoon/internal/trfc/route"
+)
+
+// Bounds of sending again.
+const (
+	maxTries    = 4                    // requests for one shard
+	maxRestarts = 2                    // times a query starts over on another snapshot
+	minLeft     = 2 * time.Millisecond // time left below which nothing is sent again
+)
+
+// Settings of the record of recent latencies, in microseconds.
+const (
+	windows     = 4
+	slowest     = 10_000_000
+	digits      = 2
+	rotateEvery = 250 * time.Millisecond
+	quantile    = 95
+)
+
+// System collects outcomes. The zero value works; it keeps a buffer.
+type System struct {
+	servers route.Chooser
+}
+
+// Name returns the system's name.
+func (*System) Name() string { return "gather" }
+
+// Run collects the outcomes that arrived.
+func (s *System) Run(l *lane.Lane, now time.Duration) {
+	for _, r := range l.TakeResults() {
+		id := lagoon.RowID(r.ID())
+		leg, ok := l.Legs().Resolve(id)
+		if !ok || leg.Ended() {
+			continue
+		}
+		q, ok := l.Queries().Resolve(leg.Query())
+		if !ok || q.State() != qrys.Running {
+			continue
+		}
+		leg.SetEnded(true)
+		s.learn(l, leg, r, now)
+		s.collect(l, leg, q, r, now)
+	}
+}
+
+// learn keeps what an outcome tells of the server's load and latency.
+func (*System) learn(l *lane.Lane, leg *legs.Row, r lagoon.LegResult, now time.Duration) {
+	load := l.Loads().Ensure(leg.Server())
+	load.SetOutstanding(max(0, load.Outstanding()-1))
+	if r.Limit() > 0 {
+		load.SetTold(r.Load())
+		load.SetLimit(r.Limit())
+		load.SetHeard(now)
+	}
+	if r.Status() != lagoon.StatusOK {
+		return
+	}
+	const keep = 7
+	if load.Latency() == 0 {
+		load.SetLatency(r.Took())
+	}
+	load.SetLatency((load.Latency()*keep + r.Took()) / (keep + 1))
+}
+
+func (s *System) collect(l *lane.Lane, leg *legs.Row, q *qrys.Row, r lagoon.LegResult, now time.Duration) {
+	id, shard := leg.Query(), leg.Shard()
+	q.Running()[shard]--
+	state := l.Services().Ensure(q.Query().Service())
+	if r.Status() == lagoon.StatusOK {
+		record(state, now-leg.Sent(), now)
+	}
+	if r.Status() == lagoon.StatusUnknown {
+		q.SetUnsure(true)
+	}
+	if q.Done()[shard] {
+		return
+	}
+	switch r.Status() {
+	case lagoon.StatusOK:
+		s.cover(l, q, shard, r)
+	case lagoon.StatusVersionGone:
+		s.otherSnapshot(l, id, q, shard, r, now)
+	default:
+		s.otherReplica(l, id, q, shard, leg.Hedge(), r, now)
+	}
+	if q.Open() == 0 && q.State() == qrys.Running {
+		q.SetState(qrys.Ended)
+		l.Finish(id)
+	}
+}
+
+// record adds one latency to the recent ones.
+func record(state *svcst.Row, took, now time.Duration) {
+	h := state.Recent()
+	if h == nil {
+		h = hdr.NewWindowed(windows, 1, slowest, digits)
+		state.SetRecent(h)
+		state.SetRotated(now)
+	}
+	_ = h.Current.RecordValue(min(took.Microseconds(), slowest))
+	if now-state.Rotated() >= rotateEvery {
+		state.SetRotated(now)
+		state.SetTypical(time.Duration(h.Merge().ValueAtQuantile(quantile)) * time.Microsecond)
+		h.Rotate()
+	}
+}
+
+// cover stores a shard's answer and withdraws its other legs.
+func (*System) cover(l *lane.Lane, q *qrys.Row, shard int, r lagoon.LegResult) {
+	q.Done()[shard] = true
+	q.Parts()[shard] = r.Body()
+	q.SetOpen(q.Open() - 1)
+	q.SetCovered(q.Covered() + 1)
+	for _, id := range q.Legs() {
+		if leg, ok := l.Legs().Resolve(id); ok && leg.Shard() == shard && !leg.Ended() {
+			l.SendCancel(leg.OwnerAddr(), uint64(id))
+		}
+	}
+}
+
+// otherReplica sends a leg again if that is safe and worth it.
+func (s *System) otherReplica(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, hedge bool, r lagoon.LegResult, now time.Duration) {
+	state := l.Services().Ensure(q.Query().Service())
+	if r.Status() == lagoon.StatusRefused && !hedge {
+		q.SetRefused(true)
+		state.SetRefused(now)
+	}
+	if q.Running()[shard] > 0 {
+		return
+	}
+	if s.mayRepeat(q, shard, r, now) && state.RetriesRef().Take() {
+		if server, ok := s.servers.Choose(l, q, shard); ok {
+			q.SetRetries(q.Retries() + 1)
+			s.servers.Start(l, id, q, shard, server, false)
+			l.Note("leg_retried", server.Name(), q.Query().ID(), "after "+r.Status().String()+": "+r.Detail())
+			return
+		}
+	}
+	giveUp(q, shard, r.Status().String()+": "+r.Detail())
+}
+
+func (*System) mayRepeat(q *qrys.Row, shard int, r lagoon.LegResult, now time.Duration) bool {
+	safe := q.Query().Idempotent() || r.Status().NotRun()
+	return safe && q.Tries()[shard] < maxTries && q.Deadline()-now >= minLeft
+}
+
+// otherSnapshot sends a leg to a replica that still holds the snapshot, or
+// starts the query over on another one.
+func (s *System) otherSnapshot(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, r lagoon.LegResult, now time.Duration) {
+	if q.Running()[shard] > 0 {
+		return
+	}
+	if server, ok := s.servers.Choose(l, q, shard); ok && s.mayRepeat(q, shard, r, now) {
+		q.SetRetries(q.Retries() + 1)
+		s.servers.Start(l, id, q, shard, server, false)
+		l.Note("leg_retried", server.Name(), q.Query().ID(), "the server before no longer holds the snapshot")
+		return
+	}
+	exhausted := q.Restarts() >= maxRestarts || q.Deadline()-now < minLeft
+	if exhausted || (!q.Query().Idempotent() && (q.Covered() > 0 || q.Unsure() || anyRunning(q))) {
+		giveUp(q, shard, r.Status().String()+": "+r.Detail())
+		return
+	}
+	s.restart(l, id, q)
+}
+
+func anyRunning(q *qrys.Row) bool {
+	return slices.ContainsFunc(q.Running(), func(n int) bool { return n > 0 })
+}
+
+// restart plans the query anew without the snapshot that is gone. Outcomes of
+// the legs sent so far are no longer wanted.
+func (*System) restart(l *lane.Lane, id lagoon.RowID, q *qrys.Row) {
+	l.Note("query_restarted", q.Query().Service(), q.Query().ID(), "no replica of a shard holds the snapshot any more")
+	q.SetRestarts(q.Restarts() + 1)
+	q.SetAvoid(append(q.Avoid(), q.Snapshot()))
+	for _, legID := range q.Legs() {
+		leg, ok := l.Legs().Resolve(legID)
+		if !ok {
+			continue
+		}
+		if !leg.Ended() {
+			load := l.Loads().Ensure(leg.Server())
+			load.SetOutstanding(max(0, load.Outstanding()-1))
+			q.SetUnsure(true)
+			l.SendCancel(leg.OwnerAddr(), uint64(legID))
+		}
+		l.Legs().Remove(legID)
+	}
+	q.SetLegs(nil)
+	l.Plan(id)
+}
+
+func giveUp(q *qrys.Row, shard int, reason string) {
+	q.Done()[shard] = true
+	q.Reasons()[shard] = reason
+	q.SetOpen(q.Open() - 1)
+}
--- /dev/null
+++ b/internal/trfc/hedger/hedger.go
@@ -0,0 +1,84 @@
+// Package hedger sends legs that run long a second time.
+//
+// # Usage
+//
+//	systems = append(systems, &hedger.System{})
+//
+// It reads legs and the service table; it writes queries, legs and the hedge
+// budget. Only idempotent queries are hedged.
+package hedger
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/due"
+	"github.com/lagoontrail/lagoon/internal/lane"
+	"github.com/lagoontrail/lagoon/internal/legs"
+	"github.com/lagoontrail/lagoon/internal/qrys"
+	"github.com/lagoontrail/lagoon/internal/trfc/route"
+)
+
+// overloadMemory is how long a refusal stops hedges for its service.
+const overloadMemory = 20 * time.Millisecond
+
+// System hedges legs. The zero value works; it keeps a buffer.
+type System struct {
+	servers route.Chooser
+}
+
+// Name returns the system's name.
+func (*System) Name() string { return "hedger" }
+
+// Run hedges the legs whose time has come.
+func (s *System) Run(l *lane.Lane, now time.Duration) {
+	if l.FanOut() {
+		return
+	}
+	for _, id := range l.DueRows(due.Leg) {
+		leg, ok := l.Legs().Resolve(id)
+		if !ok || leg.Ended() {
+			continue
+		}
+		q, ok := l.Queries().Resolve(leg.Query())
+		if !ok || q.State() != qrys.Running || q.Done()[leg.Shard()] {
+			continue
+		}
+		s.decide(l, id, leg, q, now)
+	}
+}
+
+func (s *System) decide(l *lane.Lane, id lagoon.RowID, leg *legs.Row, q *qrys.Row, now time.Duration) {
+	state := l.Services().Ensure(q.Query().Service())
+	var v lagoon.HedgeView
+	v.SetElapsed(now - leg.Sent())
+	v.SetTypical(state.Typical())
+	v.SetLeft(q.Deadline() - now)
+	v.SetTokens(state.HedgesRef().Left())
+	v.SetTries(q.Tries()[leg.Shard()])
+	v.SetOverload(state.Refused() > 0 && now-state.Refused() < overloadMemory)
+	hedge, wait := l.Hedger().Hedge(v)
+	if wait > 0 {
+		l.WakeAt(now+wait, due.Leg, id)
+	}
+	if !hedge {
+		return
+	}
+	s.hedge(l, leg.Query(), q, leg.Shard(), leg.Server())
+}
+
+func (s *System) hedge(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, slow string) {
+	server, ok := s.servers.Choose(l, q, shard)
+	if !ok {
+		return
+	}
+	if load, known := l.Loads().Find(server.Name()); known && load.Limit() > 0 && load.Told() >= load.Limit() {
+		return
+	}
+	if !l.Services().Ensure(q.Query().Service()).HedgesRef().Take() {
+		return
+	}
+	q.SetHedges(q.Hedges() + 1)
+	s.servers.Start(l, id, q, shard, server, true)
+	l.Note("leg_hedged", server.Name(), q.Query().ID(), "the request to "+slow+" runs longer than nearly all")
+}
--- /dev/null
+++ b/internal/trfc/route/route.go
@@ -0,0 +1,101 @@
+// Package route chooses the server for a leg.
+//
+// # Usage
+//
+//	var c route.Chooser
+//	server, ok := c.Choose(l, q, shard)
+//	c.Start(l, queryID, q, shard, server, false)
+//
+// The plan, gather and hedge systems share it.
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/lane"
+	"github.com/lagoontrail/lagoon/internal/qrys"
+	"github.com/lagoontrail/lagoon/internal/srvvw"
+)
+
+// defaultLatency stands for the latency of a server that has not answered yet.
+const defaultLatency = 5 * time.Millisecond
+
+// Chooser chooses servers. The zero value works; it keeps a buffer.
+type Chooser struct {
+	candidates []lagoon.Candidate
+	servers    []string
+}
+
+// Choose returns a server for a shard of a query that has no leg for the shard
+// yet, or false when there is none.
+func (c *Chooser) Choose(l *lane.Lane, q *qrys.Row, shard int) (*srvvw.Row, bool) {
+	c.candidates = c.candidates[:0]
+	c.servers = c.servers[:0]
+	v := l.View()
+	for _, name := range q.Groups()[shard] {
+		s, ok := v.Server(name)
+		if !ok || !c.eligible(l, q, s) || c.tried(l, q, shard, name) {
+			continue
+		}
+		c.add(l, s, v.Zone())
+	}
+	i := l.Picker().Pick(c.candidates, l.Seed())
+	if i < 0 {
+		return nil, false
+	}
+	return v.Server(c.servers[i])
+}
+
+func (*Chooser) eligible(l *lane.Lane, q *qrys.Row, s *srvvw.Row) bool {
+	if l.FanOut() {
+		return true
+	}
+	return s.Usable() && s.Holds(q.Snapshot())
+}
+
+// tried reports whether the query already sent a leg for the shard to a server.
+func (*Chooser) tried(l *lane.Lane, q *qrys.Row, shard int, server string) bool {
+	return slices.ContainsFunc(q.Legs(), func(id lagoon.RowID) bool {
+		leg, ok := l.Legs().Resolve(id)
+		return ok && leg.Shard() == shard && leg.Server() == server
+	})
+}
+
+func (c *Chooser) add(l *lane.Lane, s *srvvw.Row, zone string) {
+	var x lagoon.Candidate
+	x.SetLimit(s.Limit())
+	x.SetLoad(s.Load())
+	x.SetLatency(s.Latency())
+	x.SetSameZone(s.OwnerZone() == zone)
+	if local, ok := l.Loads().Find(s.Name()); ok && local.Limit() > 0 {
+		x.SetLimit(local.Limit())
+		x.SetLoad(max(local.Told(), local.Outstanding()))
+		x.SetLatency(local.Latency())
+	}
+	if x.Latency() == 0 {
+		x.SetLatency(defaultLatency)
+	}
+	c.candidates = append(c.candidates, x)
+	c.servers = append(c.servers, s.Name())
+}
+
+// Start adds a leg of a query to the tables and lists it to be sent.
+func (*Chooser) Start(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, s *srvvw.Row, hedge bool) {
+	legID, leg := l.Legs().Add("")
+	leg.SetQuery(id)
+	leg.SetShard(shard)
+	leg.SetServer(s.Name())
+	leg.SetOwner(s.Owner())
+	leg.SetHedge(hedge)
+	if !s.Mine() && !l.FanOut() {
+		leg.SetOwnerAddr(s.OwnerAddr())
+	}
+	q.SetLegs(append(q.Legs(), legID))
+	q.Tries()[shard]++
+	q.Running()[shard]++
+	load := l.Loads().Ensure(s.Name())
+	load.SetOutstanding(load.Outstanding() + 1)
+	l.Ready(legID)
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,60 @@
+// Package view holds what control tells the traffic lanes.
+//
+// # Usage
+//
+//	v := current.Load()          // an atomic pointer, loaded once per tick
+//	if now >= v.LeaseUntil() { refuse() }
+//	s, ok := v.Service(name)
+//
+// A view is immutable once published; control publishes a new one for each
+// change. Invariant: the configuration revision and the placement version of
+// successive views never fall.
+package view
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon/internal/srvvw"
+	"github.com/lagoontrail/lagoon/internal/svcvw"
+)
+
+//go:generate go run ../accgen -dir . -rows
+
+// View is one state of the control tables. The zero value has no services and
+// no lease, so a lane refuses every query.
+type View struct {
+	self       string            // this node's name
+	start      uint64            // this node's start id
+	zone       string            // this node's zone
+	leaseUntil time.Duration     // the monotonic time until which this node may act
+	stopping   bool              // whether the node refuses new queries
+	config     uint64            // the configuration revision
+	placement  uint64            // the placement version
+	servers    []srvvw.Row       // the servers
+	services   []svcvw.Row       // the services
+	peers      map[string]string // the addresses of the known nodes by name
+	index      map[string]int    // positions of the servers by name
+	svcIndex   map[string]int    // positions of the services by name
+	keepers    []string          // the address of the keeper of each claim bucket; empty for this node
+}
+
+// Server returns the server of a name.
+func (v *View) Server(name string) (*srvvw.Row, bool) {
+	i, ok := v.index[name]
+	if !ok {
+		return nil, false
+	}
+	return &v.servers[i], true
+}
+
+// Service returns the service of a name.
+func (v *View) Service(name string) (*svcvw.Row, bool) {
+	i, ok := v.svcIndex[name]
+	if !ok {
+		return nil, false
+	}
+	return &v.services[i], true
+}
+
+// AddrOf returns the address of a known node, or "" when it is not known.
+func (v *View) AddrOf(node string) string { return v.peers[node] }
--- /dev/null
+++ b/internal/wire/api.go
@@ -0,0 +1,153 @@
+package wire
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoontrail/lagoon"
+)
+
+// maxTimeout bounds the time that a caller may ask for.
+const maxTimeout = time.Minute
+
+// queryBody is a query in JSON.
+type queryBody struct {
+	ID          string  `json:"id"`
+	Service     string  `json:"service"`
+	Body        string  `json:"body"`
+	TimeoutMS   int     `json:"timeout_ms"`
+	Idempotent  *bool   `json:"idempotent"`
+	MinCoverage float64 `json:"min_coverage"`
+}
+
+// answerBody is an answer in JSON.
+type answerBody struct {
+	ID         string     `json:"id"`
+	Node       string     `json:"node"`
+	Outcome    string     `json:"outcome"`
+	Reason     string     `json:"reason,omitempty"`
+	MapVersion uint64     `json:"map_version"`
+	Index      uint64     `json:"index_version"`
+	Total      int        `json:"shards_total"`
+	Covered    int        `json:"shards_covered"`
+	Parts      []partBody `json:"parts"`
+	Gaps       []gapBody  `json:"not_covered"`
+	Hedges     int        `json:"hedges"`
+	Retries    int        `json:"retries"`
+}
+
+type partBody struct {
+	Shard uint32 `json:"shard"`
+	Body  string `json:"body"`
+}
+
+type gapBody struct {
+	Shard  uint32 `json:"shard"`
+	Reason string `json:"reason"`
+}
+
+// DecodeQuery reads a query in JSON and checks it.
+func (Codec) DecodeQuery(data []byte) (lagoon.Query, error) {
+	var q lagoon.Query
+	var form queryBody
+	if err := json.Unmarshal(data, &form); err != nil {
+		return q, errors.Wrap(err, "the body is not a query in JSON")
+	}
+	timeout := time.Duration(form.TimeoutMS) * time.Millisecond
+	switch {
+	case form.Service == "":
+		return q, errors.New("service is missing")
+	case timeout < 0 || timeout > maxTimeout:
+		return q, errors.Errorf("timeout_ms is %d; allowed are 0 to %d", form.TimeoutMS, maxTimeout.Milliseconds())
+	case form.MinCoverage < 0 || form.MinCoverage > 1:
+		return q, errors.Errorf("min_coverage is %v; allowed are 0 to 1", form.MinCoverage)
+	case form.Idempotent != nil && !*form.Idempotent && form.ID == "":
+		return q, errors.New("id is missing; a request that is not idempotent needs one of the form MILLISECONDS-RANDOM")
+	}
+	q.SetID(form.ID)
+	q.SetService(form.Service)
+	q.SetBody([]byte(form.Body))
+	q.SetTimeout(timeout)
+	q.SetIdempotent(form.Idempotent == nil || *form.Idempotent)
+	q.SetMinCoverage(form.MinCoverage)
+	return q, nil
+}
+
+// EncodeQuery returns a query in JSON.
+func (Codec) EncodeQuery(q lagoon.Query) ([]byte, error) {
+	idempotent := q.Idempotent()
+	return json.Marshal(queryBody{
+		ID: q.ID(), Service: q.Service(), Body: string(q.Body()),
+		TimeoutMS: int(q.Timeout().Milliseconds()), Idempotent: &idempotent, MinCoverage: q.MinCoverage(),
+	})
+}
+
+// EncodeAnswer returns an answer in JSON.
+func (Codec) EncodeAnswer(a lagoon.Answer) []byte {
+	f := answerBody{
+		ID: a.ID(), Node: a.Node(), Outcome: a.Outcome().String(), Reason: a.Reason(),
+		MapVersion: a.Snapshot().Map(), Index: a.Snapshot().Index(),
+		Total: a.Total(), Covered: len(a.Parts()), Hedges: a.Hedges(), Retries: a.Retries(),
+		Parts: []partBody{}, Gaps: []gapBody{},
+	}
+	for _, p := range a.Parts() {
+		f.Parts = append(f.Parts, partBody{p.Shard(), string(p.Body())})
+	}
+	for _, g := range a.Gaps() {
+		f.Gaps = append(f.Gaps, gapBody{g.Shard(), g.Reason()})
+	}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return []byte("{}") // cannot happen: the form holds only strings and numbers
+	}
+	return data
+}
+
+// DecodeAnswer reads an answer in JSON.
+func (Codec) DecodeAnswer(data []byte) (lagoon.Answer, error) {
+	var a lagoon.Answer
+	var f answerBody
+	if err := json.Unmarshal(data, &f); err != nil {
+		return a, errors.Wrap(err, "read the answer")
+	}
+	outcome, err := outcomeOf(f.Outcome)
+	if err != nil {
+		return a, err
+	}
+	a.SetID(f.ID)
+	a.SetNode(f.Node)
+	a.SetOutcome(outcome)
+	a.SetReason(f.Reason)
+	a.SetSnapshot(lagoon.NewSnapshot(uint32(f.MapVersion), uint32(f.Index)))
+	a.SetTotal(f.Total)
+	a.SetHedges(f.Hedges)
+	a.SetRetries(f.Retries)
+	a.SetParts(each(f.Parts, partOf))
+	a.SetGaps(each(f.Gaps, gapOf))
+	return a, nil
+}
+
+func outcomeOf(name string) (lagoon.Outcome, error) {
+	for o := lagoon.OutcomeUnknown; o <= lagoon.OutcomeInvalid; o++ {
+		if o.String() == name {
+			return o, nil
+		}
+	}
+	return lagoon.OutcomeUnknown, errors.Errorf("read the answer: outcome %q is unknown", name)
+}
+
+func partOf(f partBody) lagoon.Part {
+	var p lagoon.Part
+	p.SetShard(f.Shard)
+	p.SetBody([]byte(f.Body))
+	return p
+}
+
+func gapOf(f gapBody) lagoon.Gap {
+	var g lagoon.Gap
+	g.SetShard(f.Shard)
+	g.SetReason(f.Reason)
+	return g
+}
--- /dev/null
+++ b/internal/zones/zones.go
@@ -0,0 +1,19 @@
+// Package zones holds the columns of one availability zone in the control
+// tables.
+//
+// # Usage
+//
+//	var t rows.Table[zones.Row]
+//	t.Ensure("cph-1").SetOut(true)
+//
+// The config system writes the rows; the publish system reads them.
+package zones
+
+//go:generate go run ../accgen -dir . -rows
+
+// Row is one availability zone, keyed by its name.
+type Row struct {
+	out     bool   // whether operators have taken the zone out
+	version uint64 // the resource version of the declaration
+	reason  string // the operator's words for the last change
+}
