Add the bench, and hedge on what legs really take

Traces of the slow queries showed three causes: the threshold came from some 60 latencies, of which one straggler is the 97th percentile; the budget began empty; and a leg that lost to its hedge was not counted, so hedging lowered its own threshold and used the budget up on ordinary legs. Ruled out: refused hedges (none) and slow owners. Change: windows of 8 s with a cap of three medians, a first credit of ten tokens, censored times for withdrawn legs, the owner's mean time with each result, and a mean time that falls while a server answers nothing.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -262,6 +262,12 @@
 // SetTook sets the time the server took.
 func (v *LegResult) SetTook(x time.Duration) { v.took = x }
 
+// Mean returns the recent mean time of the server, as its owner knows it.
+func (v LegResult) Mean() time.Duration { return v.mean }
+
+// SetMean sets the recent mean time of the server, as its owner knows it.
+func (v *LegResult) SetMean(x time.Duration) { v.mean = x }
+
 // Lane returns the recipient's lane that owns the legs.
 func (v LegResults) Lane() int { return v.lane }
 
@@ -976,10 +982,10 @@
 // SetElapsed sets time since the leg was sent.
 func (v *HedgeView) SetElapsed(x time.Duration) { v.elapsed = x }
 
-// Typical returns the 95th percentile of recent legs of the service.
+// Typical returns the time within which nearly all recent legs of the service ended.
 func (v HedgeView) Typical() time.Duration { return v.typical }
 
-// SetTypical sets the 95th percentile of recent legs of the service.
+// SetTypical sets the time within which nearly all recent legs of the service ended.
 func (v *HedgeView) SetTypical(x time.Duration) { v.typical = x }
 
 // Left returns time left until the query's deadline.
--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -1,6 +1,88 @@
 package cmds
 
-import "github.com/spf13/cobra"
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
 
-func demoCommand() *cobra.Command  { return &cobra.Command{Use: "demo"} }
-func benchCommand() *cobra.Command { return &cobra.Command{Use: "bench"} }
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/lagoontrail/lagoon/internal/bench"
+)
+
+func demoCommand() *cobra.Command { return &cobra.Command{Use: "demo"} }
+
+func benchCommand() *cobra.Command {
+	var o bench.Options
+	var output, trace string
+	c := &cobra.Command{
+		Use: "bench", Short: "Run a scenario of load and failures, and check the promises",
+		Long:    "Runs real nodes over loopback with stand-in servers. Scenarios: all, " + strings.Join(bench.Names(), ", ") + ".",
+		Example: "  lagoontrail bench --scenario straggler --seed 7\n  lagoontrail bench --scenario straggler --policy baseline", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log, closeLog, err := traceLog(trace)
+			if err != nil {
+				return err
+			}
+			defer closeLog()
+			o.Log = log
+			names := []string{o.Scenario}
+			if o.Scenario == "all" {
+				names = bench.Names()
+			}
+			return runBench(c, o, names, output)
+		},
+	}
+	c.Flags().StringVar(&o.Scenario, "scenario", "steady", "the scenario, or all")
+	c.Flags().StringVar(&o.Deployment, "deployment", "", "small, nordlys or chattahoochee; the scenario's own when left out")
+	c.Flags().StringVar(&o.Policy, "policy", "now", "now, first (the project's first policies) or baseline (plain fan-out)")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "the seed of the load")
+	c.Flags().IntVar(&o.Nodes, "nodes", 0, "the number of nodes; the deployment's own when 0")
+	c.Flags().IntVar(&o.Seconds, "seconds", 0, "the length of the load in seconds; the scenario's own when 0")
+	c.Flags().StringVar(&trace, "trace", "", "a file for the decisions, as JSON lines")
+	c.Flags().StringVarP(&output, "output", "o", "table", "how to print: json or table")
+	return c
+}
+
+func runBench(c *cobra.Command, o bench.Options, names []string, output string) error {
+	broken := false
+	for _, name := range names {
+		o.Scenario = name
+		report, err := bench.Run(c.Context(), o)
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		if output == "json" {
+			data, err := report.JSON()
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), string(data))
+		} else if err := report.Print(c.OutOrStdout()); err != nil {
+			return err
+		}
+		broken = broken || len(report.Broken()) > 0
+	}
+	if broken {
+		return errFailed
+	}
+	return nil
+}
+
+// traceLog returns a log of decisions into a file, or nil without one.
+func traceLog(path string) (*logrus.Logger, func(), error) {
+	if path == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "open the trace")
+	}
+	log := logrus.New()
+	log.SetOutput(io.Writer(f))
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return log, func() { _ = f.Close() }, nil
+}
--- a/internal/ctrl/receiv/receiv.go
+++ b/internal/ctrl/receiv/receiv.go
@@ -114,13 +114,20 @@
 	status.SetLoad(told.Load())
 	status.SetLatency(told.Latency())
 	status.SetEjected(told.Ejected())
-	row.SetStatus(status)
 	row.SetHeard(now)
-	if before.Limit() != told.Limit() || before.Ejected() != told.Ejected() {
+	row.SetStatus(status)
+	if before.Limit() != told.Limit() || before.Ejected() != told.Ejected() || moved(row.Spread(), told.Latency()) {
+		row.SetSpread(told.Latency())
 		Changed(w, row)
 	}
 }
 
+// moved reports whether a mean time differs enough from the one last told to
+// the other nodes.
+func moved(before, now time.Duration) bool {
+	return now*2 > before*3 || now*3 < before*2
+}
+
 // given records that the lane has none of a given-up server's requests left.
 func given(w *world.World, row *srvrs.Row, told lagoon.ServerStatus) {
 	if !row.Giving() || told.Load() > 0 || told.Placement() != w.Placement().Version() {
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -87,9 +87,11 @@
 	out      outbox
 	again    bool
 	reported time.Duration
-	ctx      context.Context
-	running  sync.WaitGroup
-	cancel   context.CancelFunc
+	// placement is the version under which the gates were last reported.
+	placement uint64
+	ctx       context.Context
+	running   sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // jobEnd is the message that a request to a server ended.
--- a/internal/lane/outbox.go
+++ b/internal/lane/outbox.go
@@ -188,11 +188,13 @@
 	var out []lagoon.ServerStatus
 	for i := range l.gates.Len() {
 		g := l.gates.At(i)
-		if !g.Told() {
+		l.forget(g)
+		if !g.Told() || l.view.Placement() != l.placement {
 			out = append(out, l.statusOf(l.gates.Key(i), g))
 			g.SetTold(true)
 		}
 	}
+	l.placement = l.view.Placement()
 	if len(out) == 0 {
 		return
 	}
@@ -203,10 +205,22 @@
 	}
 }
 
+// forget lets a server's mean time fall towards its warm one while it answers
+// nothing, so that a server which was slow once is tried again.
+func (l *Lane) forget(g *gates.Row) {
+	const keep = 0.98 // per report
+	if g.Inflight() > 0 || g.Warm() == 0 || g.Latency() <= g.Warm() {
+		return
+	}
+	g.SetLatency(max(g.Warm(), time.Duration(float64(g.Latency())*keep)))
+	g.SetTold(false)
+}
+
 func (l *Lane) statusOf(server string, g *gates.Row) lagoon.ServerStatus {
 	var s lagoon.ServerStatus
 	s.SetServer(server)
 	s.SetStart(g.Start())
+	s.SetPlacement(l.view.Placement())
 	s.SetEjected(g.Ejected() > 0)
 	s.SetLimit(g.Ramp().Limit())
 	s.SetLoad(g.Inflight() + len(g.Queue()))
--- a/internal/srvrs/accessors_gen.go
+++ b/internal/srvrs/accessors_gen.go
@@ -53,6 +53,12 @@
 // SetHeard sets when the status was learned.
 func (v *Row) SetHeard(x time.Duration) { v.heard = x }
 
+// Spread returns the mean latency last told to the other nodes.
+func (v *Row) Spread() time.Duration { return v.spread }
+
+// SetSpread sets the mean latency last told to the other nodes.
+func (v *Row) SetSpread(x time.Duration) { v.spread = x }
+
 // Changed returns the change counter at which the status last changed.
 func (v *Row) Changed() uint64 { return v.changed }
 
--- a/internal/srvrs/srvrs.go
+++ b/internal/srvrs/srvrs.go
@@ -27,6 +27,7 @@
 	giving     bool                // whether this node is giving it up and waits for running requests
 	status     lagoon.ServerStatus // the latest status known
 	heard      time.Duration       // when the status was learned
+	spread     time.Duration       // the mean latency last told to the other nodes
 	changed    uint64              // the change counter at which the status last changed
 	probed     time.Duration       // when the last probe was started
 	probing    bool                // whether a probe is running
--- a/internal/svcst/accessors_gen.go
+++ b/internal/svcst/accessors_gen.go
@@ -13,10 +13,10 @@
 // SetRunning sets queries running.
 func (v *Row) SetRunning(x int) { v.running = x }
 
-// Typical returns the 95th percentile of recent legs; 0 before any.
+// Typical returns the time within which nearly all recent legs ended; 0 before any.
 func (v *Row) Typical() time.Duration { return v.typical }
 
-// SetTypical sets the 95th percentile of recent legs; 0 before any.
+// SetTypical sets the time within which nearly all recent legs ended; 0 before any.
 func (v *Row) SetTypical(x time.Duration) { v.typical = x }
 
 // Rotated returns when typical was last computed.
--- a/internal/svcst/svcst.go
+++ b/internal/svcst/svcst.go
@@ -21,7 +21,7 @@
 // Row is one service, keyed by its name.
 type Row struct {
 	running int                    // queries running
-	typical time.Duration          // the 95th percentile of recent legs; 0 before any
+	typical time.Duration          // the time within which nearly all recent legs ended; 0 before any
 	rotated time.Duration          // when typical was last computed
 	refused time.Duration          // when a leg was last refused for overload
 	recent  *hdr.WindowedHistogram // times of recent legs, in microseconds; nil before any
--- a/internal/trfc/admit/admit.go
+++ b/internal/trfc/admit/admit.go
@@ -55,7 +55,7 @@
 	state := l.Services().Ensure(q.Query().Service())
 	state.SetRunning(state.Running() + 1)
 	q.SetCounted(true)
-	if q.Query().Idempotent() {
+	if q.Query().Idempotent() || l.FanOut() {
 		l.Plan(id)
 		return
 	}
--- a/internal/trfc/gather/gather.go
+++ b/internal/trfc/gather/gather.go
@@ -33,13 +33,25 @@
 
 // Settings of the record of recent latencies, in microseconds.
 const (
-	windows     = 4
+	windows     = 8
 	slowest     = 10_000_000
 	digits      = 2
-	rotateEvery = 250 * time.Millisecond
-	quantile    = 95
+	rotateEvery = time.Second
 )
 
+// Bounds of the estimate while few latencies are known: it is computed at every
+// early-th latency of the first window, and is at most capMedians medians, since
+// a few stragglers among few latencies would raise the quantile to theirs.
+const (
+	early      = 16
+	capMedians = 3
+)
+
+// budgetShare is the share of the hedge budget that ordinary slow legs may use
+// up; the rest is for stragglers. It sets the quantile after which a leg is
+// hedged.
+const budgetShare = 0.6
+
 // System collects outcomes. The zero value works; it keeps a buffer.
 type System struct {
 	servers route.Chooser
@@ -70,27 +82,21 @@
 func (*System) learn(l *lane.Lane, leg *legs.Row, r lagoon.LegResult, now time.Duration) {
 	load := l.Loads().Ensure(leg.Server())
 	load.SetOutstanding(max(0, load.Outstanding()-1))
-	if r.Limit() > 0 {
-		load.SetTold(r.Load())
-		load.SetLimit(r.Limit())
-		load.SetHeard(now)
-	}
-	if r.Status() != lagoon.StatusOK {
+	if r.Limit() == 0 {
 		return
 	}
-	const keep = 7
-	if load.Latency() == 0 {
-		load.SetLatency(r.Took())
-	}
-	load.SetLatency((load.Latency()*keep + r.Took()) / (keep + 1))
+	load.SetTold(r.Load())
+	load.SetLimit(r.Limit())
+	load.SetLatency(r.Mean())
+	load.SetHeard(now)
 }
 
 func (s *System) collect(l *lane.Lane, leg *legs.Row, q *qrys.Row, r lagoon.LegResult, now time.Duration) {
 	id, shard := leg.Query(), leg.Shard()
 	q.Running()[shard]--
 	state := l.Services().Ensure(q.Query().Service())
-	if r.Status() == lagoon.StatusOK {
-		record(state, now-leg.Sent(), now)
+	if r.Status() == lagoon.StatusOK && !leg.Hedge() {
+		record(state, hedgePercent(l, q), now-leg.Sent(), now)
 	}
 	if r.Status() == lagoon.StatusUnknown {
 		q.SetUnsure(true)
@@ -100,7 +106,7 @@
 	}
 	switch r.Status() {
 	case lagoon.StatusOK:
-		s.cover(l, q, shard, r)
+		s.cover(l, q, shard, r, now)
 	case lagoon.StatusVersionGone:
 		s.otherSnapshot(l, id, q, shard, r, now)
 	default:
@@ -113,7 +119,7 @@
 }
 
 // record adds one latency to the recent ones.
-func record(state *svcst.Row, took, now time.Duration) {
+func record(state *svcst.Row, percent float64, took, now time.Duration) {
 	h := state.Recent()
 	if h == nil {
 		h = hdr.NewWindowed(windows, 1, slowest, digits)
@@ -121,15 +127,32 @@
 		state.SetRotated(now)
 	}
 	_ = h.Current.RecordValue(min(took.Microseconds(), slowest))
-	if now-state.Rotated() >= rotateEvery {
+	rotate := now-state.Rotated() >= rotateEvery
+	if !rotate && (state.Typical() > 0 || h.Current.TotalCount()%early != 0) {
+		return
+	}
+	merged := h.Merge()
+	typical := min(merged.ValueAtQuantile(100-budgetShare*percent), capMedians*merged.ValueAtQuantile(50))
+	state.SetTypical(time.Duration(typical) * time.Microsecond)
+	if rotate {
 		state.SetRotated(now)
-		state.SetTypical(time.Duration(h.Merge().ValueAtQuantile(quantile)) * time.Microsecond)
 		h.Rotate()
 	}
 }
 
-// cover stores a shard's answer and withdraws its other legs.
-func (*System) cover(l *lane.Lane, q *qrys.Row, shard int, r lagoon.LegResult) {
+// hedgePercent returns the budget of hedges of a query's service.
+func hedgePercent(l *lane.Lane, q *qrys.Row) float64 {
+	if svc, ok := l.View().Service(q.Query().Service()); ok {
+		return svc.Rule().HedgePercent()
+	}
+	return 0
+}
+
+// cover stores a shard's answer and withdraws its other legs. A first leg that
+// is withdrawn counts with the time it took so far; without it, hedging would
+// make legs look faster than they are and so cause more hedging.
+func (*System) cover(l *lane.Lane, q *qrys.Row, shard int, r lagoon.LegResult, now time.Duration) {
+	state := l.Services().Ensure(q.Query().Service())
 	q.Done()[shard] = true
 	q.Parts()[shard] = r.Body()
 	q.SetOpen(q.Open() - 1)
@@ -137,6 +160,9 @@
 	for _, id := range q.Legs() {
 		if leg, ok := l.Legs().Resolve(id); ok && leg.Shard() == shard && !leg.Ended() {
 			l.SendCancel(leg.OwnerAddr(), uint64(id))
+			if !leg.Hedge() {
+				record(state, hedgePercent(l, q), now-leg.Sent(), now)
+			}
 		}
 	}
 }
--- a/internal/trfc/offer/offer.go
+++ b/internal/trfc/offer/offer.go
@@ -200,6 +200,7 @@
 	if gate != nil {
 		r.SetLimit(gate.Ramp().Limit())
 		r.SetLoad(gate.Inflight() + len(gate.Queue()))
+		r.SetMean(gate.Latency())
 	}
 	l.SendResult(returnAddr(l, b), b.Start(), b.Lane(), r)
 }
@@ -211,6 +212,7 @@
 	r.SetStatus(status)
 	r.SetDetail(detail)
 	r.SetTook(took)
+	r.SetMean(gate.Latency())
 	r.SetLimit(gate.Ramp().Limit())
 	r.SetLoad(gate.Inflight() + len(gate.Queue()))
 	if status == lagoon.StatusOK {
--- a/internal/trfc/route/route.go
+++ b/internal/trfc/route/route.go
@@ -22,6 +22,10 @@
 // defaultLatency stands for the latency of a server that has not answered yet.
 const defaultLatency = 5 * time.Millisecond
 
+// trustLocal is how long what a result told of a server goes before what its
+// owner told everybody.
+const trustLocal = 2 * time.Second
+
 // Chooser chooses servers. The zero value works; it keeps a buffer.
 type Chooser struct {
 	candidates []lagoon.Candidate
@@ -33,13 +37,13 @@
 func (c *Chooser) Choose(l *lane.Lane, q *qrys.Row, shard int) (*srvvw.Row, bool) {
 	c.candidates = c.candidates[:0]
 	c.servers = c.servers[:0]
-	v := l.View()
+	v, now := l.View(), l.Clock().Now()
 	for _, name := range q.Groups()[shard] {
 		s, ok := v.Server(name)
 		if !ok || !c.eligible(l, q, s) || c.tried(l, q, shard, name) {
 			continue
 		}
-		c.add(l, s, v.Zone())
+		c.add(l, s, v.Zone(), now)
 	}
 	i := l.Picker().Pick(c.candidates, l.Seed())
 	if i < 0 {
@@ -63,13 +67,13 @@
 	})
 }
 
-func (c *Chooser) add(l *lane.Lane, s *srvvw.Row, zone string) {
+func (c *Chooser) add(l *lane.Lane, s *srvvw.Row, zone string, now time.Duration) {
 	var x lagoon.Candidate
 	x.SetLimit(s.Limit())
 	x.SetLoad(s.Load())
 	x.SetLatency(s.Latency())
 	x.SetSameZone(s.OwnerZone() == zone)
-	if local, ok := l.Loads().Find(s.Name()); ok && local.Limit() > 0 {
+	if local, ok := l.Loads().Find(s.Name()); ok && local.Limit() > 0 && now-local.Heard() < trustLocal {
 		x.SetLimit(local.Limit())
 		x.SetLoad(max(local.Told(), local.Outstanding()))
 		x.SetLatency(local.Latency())
--- a/internal/trfc/send/send.go
+++ b/internal/trfc/send/send.go
@@ -21,6 +21,10 @@
 // firstHedge is the wait before a hedge while no latency is known.
 const firstHedge = 50 * time.Millisecond
 
+// meansToWait is the wait before a hedge, in mean latencies of the server, while
+// the latencies of the service's legs are not known.
+const meansToWait = 3
+
 // System sends legs. The zero value works; it keeps buffers.
 type System struct {
 	open []pending
@@ -66,14 +70,17 @@
 	b := s.batch(l, leg, q, now)
 	b.SetLegs(append(b.Legs(), w))
 	if q.Query().Idempotent() {
-		l.WakeAt(now+hedgeWait(l, q), due.Leg, id)
+		l.WakeAt(now+hedgeWait(l, leg, q), due.Leg, id)
 	}
 }
 
-func hedgeWait(l *lane.Lane, q *qrys.Row) time.Duration {
+func hedgeWait(l *lane.Lane, leg *legs.Row, q *qrys.Row) time.Duration {
 	if t := l.Services().Ensure(q.Query().Service()).Typical(); t > 0 {
 		return t
 	}
+	if s, ok := l.View().Server(leg.Server()); ok && s.Latency() > 0 {
+		return min(firstHedge, meansToWait*s.Latency())
+	}
 	return firstHedge
 }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -206,6 +206,7 @@
 	Limit  int           `cbor:"5,keyasint,omitempty" json:"limit,omitempty"`
 	Load   int           `cbor:"6,keyasint,omitempty" json:"load,omitempty"`
 	Took   time.Duration `cbor:"7,keyasint,omitempty" json:"took,omitempty"`
+	Mean   time.Duration `cbor:"8,keyasint,omitempty" json:"mean,omitempty"`
 }
 
 func toLegResult(v lagoon.LegResult) legResultForm {
@@ -217,6 +218,7 @@
 		Limit:  v.Limit(),
 		Load:   v.Load(),
 		Took:   v.Took(),
+		Mean:   v.Mean(),
 	}
 }
 
@@ -229,6 +231,7 @@
 	v.SetLimit(m.Limit)
 	v.SetLoad(m.Load)
 	v.SetTook(m.Took)
+	v.SetMean(m.Mean)
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -73,6 +73,7 @@
 	limit  int           // requests the owner allows at once
 	load   int           // requests queued or running at the owner
 	took   time.Duration // the time the server took
+	mean   time.Duration // the recent mean time of the server, as its owner knows it
 }
 
 // LegResults carries outcomes back to the node that sent the legs.
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -11,27 +11,30 @@
 // requests, so the bound holds for the sum over all nodes without exchange.
 package budget
 
-// burst is the largest number of tokens that may be saved up.
-const burst = 20.0
+// Bounds of a budget, in tokens.
+const (
+	burst  = 20.0 // the most that may be saved up
+	credit = 10.0 // what a new budget starts with, so that the first straggler can be fought
+)
 
-// Tokens is a budget. The zero value has none.
+// Tokens is a budget. The zero value has its first credit.
 type Tokens struct {
-	have float64
+	spent float64 // credit less the tokens that are there
 }
 
 // Earn adds the tokens of a number of ordinary requests at a percentage.
 func (t *Tokens) Earn(requests int, percent float64) {
-	t.have = min(burst, t.have+float64(requests)*percent/100)
+	t.spent = max(credit-burst, t.spent-float64(requests)*percent/100)
 }
 
 // Left returns the tokens left.
-func (t *Tokens) Left() float64 { return t.have }
+func (t *Tokens) Left() float64 { return credit - t.spent }
 
 // Take spends one token and reports whether there was one.
 func (t *Tokens) Take() bool {
-	if t.have < 1 {
+	if t.Left() < 1 {
 		return false
 	}
-	t.have--
+	t.spent++
 	return true
 }
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -41,7 +41,7 @@
 		return false, 0
 	}
 	if v.Overload() || v.Tokens() < 1 {
-		return false, after
+		return false, minWait
 	}
 	return true, after
 }
--- a/values.go
+++ b/values.go
@@ -184,7 +184,7 @@
 // HedgeView is what a HedgePolicy knows of a leg and its surroundings.
 type HedgeView struct {
 	elapsed  time.Duration // time since the leg was sent
-	typical  time.Duration // the 95th percentile of recent legs of the service
+	typical  time.Duration // the time within which nearly all recent legs of the service ended
 	left     time.Duration // time left until the query's deadline
 	tokens   float64       // extra requests the budget still allows
 	tries    int           // requests sent for this shard so far
