Make a placement plan stable

The actions showed one placement after the other: a plan gave a node more than its fair number of servers, and the next plan took them away again, each time with a wait for a lease. Ruled out: the configuration change itself. Change: a plan never gives a node more than its fair number; a property test compares the plan with the one after it. Reads and writes now have separate latencies.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -201,6 +201,7 @@
 	r.report.Set("p50 ms", t.Quantile(50))
 	r.report.Set("p99 ms", t.Quantile(99))
 	r.report.Set("p99.9 ms", t.Quantile(99.9))
+	r.report.Set("write p99 ms", t.WriteQuantile(99))
 	r.report.Set("coverage %", 100*t.Coverage())
 	r.report.Set("hedges %", t.HedgePercent())
 	r.report.Set("retries %", t.RetryPercent())
--- a/internal/outcm/outcm.go
+++ b/internal/outcm/outcm.go
@@ -29,7 +29,8 @@
 // goroutines.
 type Tally struct {
 	mu       sync.Mutex
-	latency  *hdr.Histogram
+	latency  *hdr.Histogram // of idempotent queries
+	writing  *hdr.Histogram // of the others
 	outcomes map[string]int
 	legs     int
 	covered  int
@@ -44,7 +45,7 @@
 
 // New returns an empty tally.
 func New() *Tally {
-	return &Tally{latency: hdr.New(1, slowest, digits), outcomes: map[string]int{}, reasons: map[string]int{}, writes: map[string]lagoon.Outcome{}}
+	return &Tally{latency: hdr.New(1, slowest, digits), writing: hdr.New(1, slowest, digits), outcomes: map[string]int{}, reasons: map[string]int{}, writes: map[string]lagoon.Outcome{}}
 }
 
 // Add counts one query that ended after a time, measured from when it was to
@@ -52,7 +53,11 @@
 func (t *Tally) Add(q lagoon.Query, a lagoon.Answer, err error, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_ = t.latency.RecordValue(min(took.Microseconds(), slowest))
+	if q.Idempotent() {
+		_ = t.latency.RecordValue(min(took.Microseconds(), slowest))
+	} else {
+		_ = t.writing.RecordValue(min(took.Microseconds(), slowest))
+	}
 	if err != nil {
 		t.cutOff++
 		t.outcomes["error"]++
@@ -111,7 +116,16 @@
 	}
 }
 
-// Quantile returns a latency quantile, 0 to 100, in milliseconds.
+// WriteQuantile returns a latency quantile of the queries that are not
+// idempotent, 0 to 100, in milliseconds.
+func (t *Tally) WriteQuantile(q float64) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.writing.ValueAtQuantile(q)) / 1000
+}
+
+// Quantile returns a latency quantile of the idempotent queries, 0 to 100, in
+// milliseconds.
 func (t *Tally) Quantile(q float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -130,7 +144,7 @@
 func (t *Tally) Total() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return int(t.latency.TotalCount())
+	return int(t.latency.TotalCount() + t.writing.TotalCount())
 }
 
 // Coverage returns the mean share of shards covered in answers, 0 to 1.
--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -48,7 +48,7 @@
 	zones := zonesOfGroups(out, specs, byName)
 	for i := range out {
 		if out[i].Owner() == "" {
-			give(&out[i], specs[i], loads, zones, version)
+			give(&out[i], specs[i], loads, zones, version, fair)
 		}
 	}
 	return out
@@ -87,10 +87,12 @@
 	return zones
 }
 
-func give(a *lagoon.Assignment, s lagoon.ServerSpec, loads []*load, zones map[string]int, version uint64) {
+// give assigns a server to the best member that has not its fair number yet.
+// Invariant: no member gets more, so that keep keeps all of a plan next time.
+func give(a *lagoon.Assignment, s lagoon.ServerSpec, loads []*load, zones map[string]int, version uint64, fair int) {
 	var best *load
 	for _, l := range loads {
-		if best == nil || preferred(l, best, s, zones) {
+		if l.owned < fair && (best == nil || preferred(l, best, s, zones)) {
 			best = l
 		}
 	}
