Hand servers over without a gap, and notice owners and servers that are silent

The actions showed that half of the servers given up were waited for as if their owner had failed: a release that arrived before the placement was dropped, and servers without a gate were never released. Legs went to owners that did not act yet, and used the retry budget up. 'node_loss' had p99 504 ms, since legs to a dead owner waited for their deadline; 'hung_server' 78 ms, since hedges hid that the server never answered. Change: a release names its placement version; lanes report under each new placement; a reassigned server is down until its new owner says otherwise; legs that no server saw are sent again without the budget; a lane suspects an owner that answers nothing and sends its legs elsewhere; six requests in a row that another replica answered first eject a server that can be replaced; a new start id ends an ejection; callers ask a second node after 250 ms. 'two_operators' still has a p99 of 75 ms, cause unknown.

--- a/internal/ctrl/owner/owner.go
+++ b/internal/ctrl/owner/owner.go
@@ -49,23 +49,31 @@
 		row.SetStatus(status)
 	}
 	if row.Assignment().Owner() != a.Owner() || row.Assignment().Start() != a.Start() {
+		// Nobody sends to the server until its new owner says that it admits.
 		status := row.Status()
-		status.SetUp(status.Up() && !mine)
+		status.SetUp(false)
 		row.SetStatus(status)
 	}
 	row.SetAssignment(a)
 	row.SetMine(mine)
-	acting := mine && (inForce || row.Freed() || a.Since() < w.Placement().Version())
+	acting := mine && (inForce || freed(row, a) || a.Since() < w.Placement().Version())
 	if acting && !row.Acting() {
-		w.Act("server_taken", a.Server(), why(row, inForce))
+		w.Act("server_taken", a.Server(), why(row, a, inForce))
 		receiv.Changed(w, row)
+		w.SetBeatSoon(true)
 	}
 	row.SetActing(acting)
 }
 
-func why(row *srvrs.Row, inForce bool) string {
+// freed reports whether the previous owner gave the server up for this
+// assignment.
+func freed(row *srvrs.Row, a lagoon.Assignment) bool {
+	return a.Since() > 0 && row.FreedAt() >= a.Since()
+}
+
+func why(row *srvrs.Row, a lagoon.Assignment, inForce bool) string {
 	switch {
-	case row.Freed():
+	case freed(row, a):
 		return "the previous owner has given it up"
 	case inForce:
 		return "the previous owner's lease has ended"
--- a/internal/ctrl/publsh/publsh.go
+++ b/internal/ctrl/publsh/publsh.go
@@ -42,7 +42,17 @@
 	v.SetKeepers(s.keepers(w, now))
 	s.servers(w, v, now)
 	s.services(w, v)
-	w.Current().Store(v)
+	before := w.Current().Swap(v)
+	if before.Placement() != v.Placement() || before.Config() != v.Config() {
+		wake(w)
+	}
+}
+
+// wake makes the lanes look at a new view at once.
+func wake(w *world.World) {
+	for _, box := range w.Lanes() {
+		box.TryPost(struct{}{}) // a full mailbox means that the lane is awake
+	}
 }
 
 func (System) peers(w *world.World) map[string]string {
@@ -126,7 +136,7 @@
 	}
 	if z, ok := w.Zones().Find(spec.Zone()); ok {
 		out.SetOut(z.Out())
-		out.SetOutVer(z.Version())
+		out.SetOutVer(z.Returned())
 	}
 }
 
--- a/internal/ctrl/receiv/receiv.go
+++ b/internal/ctrl/receiv/receiv.go
@@ -85,9 +85,7 @@
 		return
 	}
 	if status.Released() {
-		if status.Placement() == w.Placement().Version() {
-			row.SetFreed(true)
-		}
+		row.SetFreedAt(max(row.FreedAt(), status.Placement()))
 		return
 	}
 	if a := row.Assignment(); a.Owner() != from.Name() || a.Start() != from.Start() {
--- a/internal/ctrl/spread/spread.go
+++ b/internal/ctrl/spread/spread.go
@@ -94,6 +94,7 @@
 			status := row.Status()
 			if !status.Released() {
 				status.SetPlacement(w.Placement().Version())
+				status.SetUp(status.Up() && row.Acting())
 			}
 			out = append(out, status)
 		}
--- a/internal/gates/accessors_gen.go
+++ b/internal/gates/accessors_gen.go
@@ -17,10 +17,10 @@
 // SetStart sets the server's start id that the ramp belongs to.
 func (v *Row) SetStart(x uint64) { v.start = x }
 
-// OutVer returns the version of its zone's declaration when the zone was last seen in use.
+// OutVer returns the resource version at which its zone had come back when the ramp was last started.
 func (v *Row) OutVer() uint64 { return v.outVer }
 
-// SetOutVer sets the version of its zone's declaration when the zone was last seen in use.
+// SetOutVer sets the resource version at which its zone had come back when the ramp was last started.
 func (v *Row) SetOutVer(x uint64) { v.outVer = x }
 
 // Ramp returns how much the server gets.
@@ -65,6 +65,12 @@
 // SetStrikes sets failures in a row.
 func (v *Row) SetStrikes(x int) { v.strikes = x }
 
+// Overdue returns requests in a row that were cancelled because another replica answered first.
+func (v *Row) Overdue() int { return v.overdue }
+
+// SetOverdue sets requests in a row that were cancelled because another replica answered first.
+func (v *Row) SetOverdue(x int) { v.overdue = x }
+
 // Ejected returns until when the server is held back as an outlier; 0 when it is not.
 func (v *Row) Ejected() time.Duration { return v.ejected }
 
--- a/internal/gates/gates.go
+++ b/internal/gates/gates.go
@@ -22,7 +22,7 @@
 type Row struct {
 	since    uint64           // the placement version at which this node became the owner
 	start    uint64           // the server's start id that the ramp belongs to
-	outVer   uint64           // the version of its zone's declaration when the zone was last seen in use
+	outVer   uint64           // the resource version at which its zone had come back when the ramp was last started
 	ramp     lagoon.RampState // how much the server gets
 	inflight int              // requests running
 	queue    []lagoon.RowID   // jobs waiting, oldest first
@@ -30,6 +30,7 @@
 	warm     time.Duration    // the mean time of an answer while warm
 	answers  int              // answers since the start id changed
 	strikes  int              // failures in a row
+	overdue  int              // requests in a row that were cancelled because another replica answered first
 	ejected  time.Duration    // until when the server is held back as an outlier; 0 when it is not
 	ejects   int              // ejections since the last recovery
 	told     bool             // whether control was told of the latest state
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -30,6 +30,7 @@
 	"github.com/lagoontrail/lagoon/internal/legs"
 	"github.com/lagoontrail/lagoon/internal/loads"
 	"github.com/lagoontrail/lagoon/internal/mbox"
+	"github.com/lagoontrail/lagoon/internal/peers"
 	"github.com/lagoontrail/lagoon/internal/qrys"
 	"github.com/lagoontrail/lagoon/internal/rows"
 	"github.com/lagoontrail/lagoon/internal/svcst"
@@ -70,6 +71,7 @@
 	gates   rows.Table[gates.Row]
 	svcs    rows.Table[svcst.Row]
 	loads   rows.Table[loads.Row]
+	peers   rows.Table[peers.Row]
 	due     due.Heap
 
 	fresh    []lagoon.RowID
@@ -131,6 +133,9 @@
 // Loads returns the table of server loads.
 func (l *Lane) Loads() *rows.Table[loads.Row] { return &l.loads }
 
+// Peers returns the table of owners.
+func (l *Lane) Peers() *rows.Table[peers.Row] { return &l.peers }
+
 // View returns the view of this tick.
 func (l *Lane) View() *view.View { return l.view }
 
@@ -176,7 +181,7 @@
 	}
 	l.flush()
 	l.clear()
-	if now-l.reported >= reportInterval {
+	if now-l.reported >= reportInterval || l.view.Placement() != l.placement {
 		l.reported = now
 		l.report()
 	}
--- a/internal/lane/outbox.go
+++ b/internal/lane/outbox.go
@@ -189,12 +189,15 @@
 	for i := range l.gates.Len() {
 		g := l.gates.At(i)
 		l.forget(g)
-		if !g.Told() || l.view.Placement() != l.placement {
+		if !g.Told() {
 			out = append(out, l.statusOf(l.gates.Key(i), g))
 			g.SetTold(true)
 		}
 	}
-	l.placement = l.view.Placement()
+	if l.view.Placement() != l.placement {
+		l.placement = l.view.Placement()
+		out = l.others(out)
+	}
 	if len(out) == 0 {
 		return
 	}
@@ -205,6 +208,24 @@
 	}
 }
 
+// others adds the servers that this node does not own under a new placement,
+// so that control sees which of those it gave up have no requests left.
+func (l *Lane) others(out []lagoon.ServerStatus) []lagoon.ServerStatus {
+	servers := l.view.Servers()
+	for i := range servers {
+		name := servers[i].Name()
+		if servers[i].Mine() || l.LaneOf(name) != l.number {
+			continue
+		}
+		gate := &gates.Row{}
+		if g, ok := l.gates.Find(name); ok {
+			gate = g
+		}
+		out = append(out, l.statusOf(name, gate))
+	}
+	return out
+}
+
 // forget lets a server's mean time fall towards its warm one while it answers
 // nothing, so that a server which was slow once is tried again.
 func (l *Lane) forget(g *gates.Row) {
--- a/internal/srvrs/accessors_gen.go
+++ b/internal/srvrs/accessors_gen.go
@@ -83,8 +83,8 @@
 // SetFailures sets probes failed in a row.
 func (v *Row) SetFailures(x int) { v.failures = x }
 
-// Freed returns whether the previous owner said that it has given the server up.
-func (v *Row) Freed() bool { return v.freed }
+// FreedAt returns the latest placement version at which a previous owner said that it has given the server up.
+func (v *Row) FreedAt() uint64 { return v.freedAt }
 
-// SetFreed sets whether the previous owner said that it has given the server up.
-func (v *Row) SetFreed(x bool) { v.freed = x }
+// SetFreedAt sets the latest placement version at which a previous owner said that it has given the server up.
+func (v *Row) SetFreedAt(x uint64) { v.freedAt = x }
--- a/internal/srvrs/srvrs.go
+++ b/internal/srvrs/srvrs.go
@@ -32,5 +32,5 @@
 	probed     time.Duration       // when the last probe was started
 	probing    bool                // whether a probe is running
 	failures   int                 // probes failed in a row
-	freed      bool                // whether the previous owner said that it has given the server up
+	freedAt    uint64              // the latest placement version at which a previous owner said that it has given the server up
 }
--- a/internal/srvvw/accessors_gen.go
+++ b/internal/srvvw/accessors_gen.go
@@ -83,10 +83,10 @@
 // SetOut sets whether its zone is taken out.
 func (v *Row) SetOut(x bool) { v.out = x }
 
-// OutVer returns the version of its zone's declaration.
+// OutVer returns the resource version at which its zone came back last; 0 when it never was out.
 func (v *Row) OutVer() uint64 { return v.outVer }
 
-// SetOutVer sets the version of its zone's declaration.
+// SetOutVer sets the resource version at which its zone came back last; 0 when it never was out.
 func (v *Row) SetOutVer(x uint64) { v.outVer = x }
 
 // Up returns whether it answers.
--- a/internal/srvvw/srvvw.go
+++ b/internal/srvvw/srvvw.go
@@ -32,7 +32,7 @@
 	acting    bool              // whether this node may send to it, lease permitting
 	since     uint64            // the placement version at which this owner was assigned
 	out       bool              // whether its zone is taken out
-	outVer    uint64            // the version of its zone's declaration
+	outVer    uint64            // the resource version at which its zone came back last; 0 when it never was out
 	up        bool              // whether it answers
 	draining  bool              // whether it is leaving
 	ejected   bool              // whether its owner holds it back as an outlier
--- a/internal/trfc/eject/eject.go
+++ b/internal/trfc/eject/eject.go
@@ -26,6 +26,7 @@
 // Bounds of ejection.
 const (
 	failuresInRow  = 3
+	overdueInRow   = 6
 	baseCooldown   = 500 * time.Millisecond
 	maxCooldown    = 10 * time.Second
 	othersAnswered = 2 * time.Second // how recent an answer of another server must be
@@ -63,13 +64,16 @@
 // mayReturn reports whether a server's cooldown has passed and, where that is
 // asked for, its owner's latest probe succeeded.
 func (System) mayReturn(l *lane.Lane, name string, g *gates.Row, now time.Duration) bool {
+	server, ok := l.View().Server(name)
+	if ok && server.Start() != 0 && g.Start() != 0 && server.Start() != g.Start() {
+		return true // what was held back has ended; a new run is not to blame
+	}
 	if now < g.Ejected() {
 		return false
 	}
 	if l.Ejection() == ByTimer || l.Ejection() == ByEscalation {
 		return true
 	}
-	server, ok := l.View().Server(name)
 	return ok && server.Up()
 }
 
@@ -92,6 +96,7 @@
 		return
 	case status == lagoon.StatusOK:
 		g.SetStrikes(0)
+		g.SetOverdue(0)
 		g.SetLastOK(now)
 		if g.Ejected() == 0 {
 			g.SetEjects(0)
@@ -104,23 +109,59 @@
 	}
 	g.SetStrikes(g.Strikes() + 1)
 	if g.Strikes() >= failuresInRow {
-		hold(l, name, g, now)
+		hold(l, name, g, now, fmt.Sprintf("%d requests in a row failed", failuresInRow))
+	}
+}
+
+// Overdue counts a request that this node cancelled before it was answered,
+// because another replica answered first. A server that answers nothing in time
+// is held back as well, as long as another one can answer in its place.
+func Overdue(l *lane.Lane, name string, g *gates.Row, now time.Duration) {
+	g.SetOverdue(g.Overdue() + 1)
+	if g.Overdue() < overdueInRow || g.Ejected() > 0 || l.FanOut() || !replaceable(l, name) {
+		return
+	}
+	hold(l, name, g, now, fmt.Sprintf("%d requests in a row were answered by another replica first", overdueInRow))
+}
+
+// replaceable reports whether another server of the same group is usable.
+func replaceable(l *lane.Lane, name string) bool {
+	server, ok := l.View().Server(name)
+	if !ok {
+		return false
+	}
+	svc, ok := l.View().Service(server.Service())
+	if !ok {
+		return false
 	}
+	servers := l.View().Servers()
+	for _, group := range svc.Groups() {
+		mine, other := false, false
+		for _, pos := range group {
+			mine = mine || servers[pos].Name() == name
+			other = other || (servers[pos].Name() != name && servers[pos].Usable())
+		}
+		if mine {
+			return other
+		}
+	}
+	return false
 }
 
-func hold(l *lane.Lane, name string, g *gates.Row, now time.Duration) {
+func hold(l *lane.Lane, name string, g *gates.Row, now time.Duration, why string) {
 	if othersAnswer(l, name, now) && l.Ejection() != ByTimer {
 		g.SetEjects(g.Ejects() + 1)
 	}
 	cooldown := min(maxCooldown, baseCooldown<<min(max(g.Ejects()-1, 0), 8))
 	g.SetEjected(now + cooldown)
 	g.SetStrikes(0)
+	g.SetOverdue(0)
 	g.SetTold(false)
 	l.ReportSoon()
 	if id, ok := l.Gates().IDOf(name); ok {
-		l.WakeAt(now+cooldown, due.Gate, id)
+		l.WakeAt(now+checkInterval, due.Gate, id)
 	}
-	l.Note("server_ejected", name, "", fmt.Sprintf("%d requests in a row failed; held back for %s and until a probe succeeds", failuresInRow, cooldown))
+	l.Note("server_ejected", name, "", fmt.Sprintf("%s; held back for %s and until a probe succeeds", why, cooldown))
 }
 
 // othersAnswer reports whether another server of this lane answered lately.
--- a/internal/trfc/gather/gather.go
+++ b/internal/trfc/gather/gather.go
@@ -82,6 +82,11 @@
 func (*System) learn(l *lane.Lane, leg *legs.Row, r lagoon.LegResult, now time.Duration) {
 	load := l.Loads().Ensure(leg.Server())
 	load.SetOutstanding(max(0, load.Outstanding()-1))
+	owner := l.Peers().Ensure(leg.Owner())
+	if r.Status() != lagoon.StatusNotSent {
+		owner.SetAnswered(now)
+		owner.SetSuspectUntil(0)
+	}
 	if r.Limit() == 0 {
 		return
 	}
@@ -177,7 +182,10 @@
 	if q.Running()[shard] > 0 {
 		return
 	}
-	if s.mayRepeat(q, shard, r, now) && state.RetriesRef().Take() {
+	// A leg that its owner did not send put no load on a server, so only the
+	// others take from the budget.
+	free := r.Status() == lagoon.StatusNotSent
+	if s.mayRepeat(q, shard, r, now) && (free || state.RetriesRef().Take()) {
 		if server, ok := s.servers.Choose(l, q, shard); ok {
 			q.SetRetries(q.Retries() + 1)
 			s.servers.Start(l, id, q, shard, server, false)
--- a/internal/trfc/hedger/hedger.go
+++ b/internal/trfc/hedger/hedger.go
@@ -22,6 +22,14 @@
 // overloadMemory is how long a refusal stops hedges for its service.
 const overloadMemory = 20 * time.Millisecond
 
+// Bounds of suspicion against an owner.
+const (
+	suspectTypicals = 2                      // times the usual time that a leg is overdue
+	suspectLeast    = 15 * time.Millisecond  // the same, at least
+	suspectFor      = 500 * time.Millisecond // until the owner is tried again
+	maxRescues      = 4                      // requests for one shard
+)
+
 // System hedges legs. The zero value works; it keeps a buffer.
 type System struct {
 	servers route.Chooser
@@ -61,10 +69,44 @@
 	if wait > 0 {
 		l.WakeAt(now+wait, due.Leg, id)
 	}
-	if !hedge {
+	switch {
+	case s.suspect(l, leg, state.Typical(), now):
+		s.rescue(l, leg.Query(), q, leg, now)
+	case hedge:
+		s.hedge(l, leg.Query(), q, leg.Shard(), leg.Server())
+	}
+}
+
+// suspect reports whether the leg's owner has answered nothing at all since
+// long before the leg was due.
+func (*System) suspect(l *lane.Lane, leg *legs.Row, typical, now time.Duration) bool {
+	if leg.OwnerAddr() == "" || now-leg.Sent() < max(suspectLeast, suspectTypicals*typical) {
+		return false
+	}
+	p, ok := l.Peers().Find(leg.Owner())
+	return !ok || p.Answered() < leg.Sent()
+}
+
+// rescue sends a leg of a suspected owner to another one. It takes nothing from
+// the hedge budget, as the suspected owner most likely sends nothing; each leg
+// is rescued once.
+func (s *System) rescue(l *lane.Lane, id lagoon.RowID, q *qrys.Row, leg *legs.Row, now time.Duration) {
+	p := l.Peers().Ensure(leg.Owner())
+	if p.SuspectUntil() <= now {
+		l.Note("owner_suspected", leg.Owner(), "", "it has answered nothing since a request that is long overdue; legs go elsewhere for a while")
+	}
+	p.SetSuspectUntil(now + suspectFor)
+	shard, slow := leg.Shard(), leg.Server()
+	if q.Running()[shard] > 1 || q.Tries()[shard] >= maxRescues {
+		return
+	}
+	server, ok := s.servers.Choose(l, q, shard)
+	if !ok {
 		return
 	}
-	s.hedge(l, leg.Query(), q, leg.Shard(), leg.Server())
+	q.SetRetries(q.Retries() + 1)
+	s.servers.Start(l, id, q, shard, server, false)
+	l.Note("leg_rescued", server.Name(), q.Query().ID(), "the owner of "+slow+" is silent")
 }
 
 func (s *System) hedge(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, slow string) {
--- a/internal/trfc/offer/offer.go
+++ b/internal/trfc/offer/offer.go
@@ -160,7 +160,7 @@
 // Renew brings a gate up to the view: a new owner, a new start of the server
 // and a zone that came back each start the ramp anew.
 func Renew(l *lane.Lane, gate *gates.Row, server *srvvw.Row) {
-	back := gate.OutVer() != 0 && gate.OutVer() != server.OutVer() && !server.Out()
+	back := gate.OutVer() != server.OutVer() && !server.Out()
 	restarted := server.Start() != 0 && gate.Start() != 0 && server.Start() != gate.Start()
 	first := gate.Ramp().Limit() == 0
 	if first || back || restarted || gate.Since() != server.Since() {
--- a/internal/trfc/route/route.go
+++ b/internal/trfc/route/route.go
@@ -35,6 +35,15 @@
 // Choose returns a server for a shard of a query that has no leg for the shard
 // yet, or false when there is none.
 func (c *Chooser) Choose(l *lane.Lane, q *qrys.Row, shard int) (*srvvw.Row, bool) {
+	if s, ok := c.choose(l, q, shard, true); ok {
+		return s, true
+	}
+	return c.choose(l, q, shard, false)
+}
+
+// choose chooses among the servers whose owners are not suspected, or among
+// all.
+func (c *Chooser) choose(l *lane.Lane, q *qrys.Row, shard int, wary bool) (*srvvw.Row, bool) {
 	c.candidates = c.candidates[:0]
 	c.servers = c.servers[:0]
 	v, now := l.View(), l.Clock().Now()
@@ -43,6 +52,9 @@
 		if !ok || !c.eligible(l, q, s) || c.tried(l, q, shard, name) {
 			continue
 		}
+		if wary && suspected(l, s.Owner(), now) {
+			continue
+		}
 		c.add(l, s, v.Zone(), now)
 	}
 	i := l.Picker().Pick(c.candidates, l.Seed())
@@ -52,6 +64,12 @@
 	return v.Server(c.servers[i])
 }
 
+// suspected reports whether an owner answers nothing lately.
+func suspected(l *lane.Lane, owner string, now time.Duration) bool {
+	p, ok := l.Peers().Find(owner)
+	return ok && now < p.SuspectUntil()
+}
+
 func (*Chooser) eligible(l *lane.Lane, q *qrys.Row, s *srvvw.Row) bool {
 	if l.FanOut() {
 		return true
--- a/internal/trfc/settle/settle.go
+++ b/internal/trfc/settle/settle.go
@@ -69,6 +69,9 @@
 		l.Touch(j.Gate())
 	}
 	s.observe(l, j, g)
+	if j.Withdrawn() && status == lagoon.StatusUnknown && g.Warm() > 0 && j.Took() > coldFactor*g.Warm() {
+		eject.Overdue(l, l.Gates().KeyOf(j.Gate()), g, now)
+	}
 	excused := interrupted && !hung(j, g)
 	eject.Judge(l, l.Gates().KeyOf(j.Gate()), g, status, excused, now)
 	g.SetTold(false)
--- a/internal/world/adopt.go
+++ b/internal/world/adopt.go
@@ -17,13 +17,15 @@
 	w.config = c
 	w.configAt = w.clock.Now()
 	w.beatSoon = true
-	w.takeZones(c)
+	w.takeZones(c, c.Revision() > before.Revision()+1)
 	w.takeServices(c)
 	w.Act("config_adopted", "config", fmt.Sprintf("revision %d replaces %d, learned from %s", c.Revision(), before.Revision(), source))
 	return true
 }
 
-func (w *World) takeZones(c lagoon.Config) {
+// takeZones updates the zones. skipped says that revisions in between were not
+// seen; a zone that was changed in them may have been out meanwhile.
+func (w *World) takeZones(c lagoon.Config, skipped bool) {
 	seen := map[string]bool{}
 	for _, z := range c.Zones() {
 		seen[z.Name()] = true
@@ -32,6 +34,10 @@
 		if out != row.Out() {
 			w.Act("zone_"+map[bool]string{true: "out", false: "in"}[out], z.Name(), "declared by operators: "+z.Reason())
 		}
+		mayBeBack := row.Out() || (skipped && row.Version() > 0 && row.Version() != z.Version())
+		if !out && mayBeBack {
+			row.SetReturned(z.Version())
+		}
 		row.SetOut(out)
 		row.SetVersion(z.Version())
 		row.SetReason(z.Reason())
@@ -107,9 +113,6 @@
 	w.placedAt = w.clock.Now()
 	w.settledAt = 0
 	w.beatSoon = true
-	for i := range w.servers.Len() {
-		w.servers.At(i).SetFreed(false)
-	}
 	w.Act("placement_adopted", "placement", fmt.Sprintf("version %d with %d members, learned from %s", p.Version(), len(p.Members()), source))
 	return true
 }
--- a/internal/zones/accessors_gen.go
+++ b/internal/zones/accessors_gen.go
@@ -14,6 +14,12 @@
 // SetVersion sets the resource version of the declaration.
 func (v *Row) SetVersion(x uint64) { v.version = x }
 
+// Returned returns the resource version at which the zone may have come back last; 0 when it never was out.
+func (v *Row) Returned() uint64 { return v.returned }
+
+// SetReturned sets the resource version at which the zone may have come back last; 0 when it never was out.
+func (v *Row) SetReturned(x uint64) { v.returned = x }
+
 // Reason returns the operator's words for the last change.
 func (v *Row) Reason() string { return v.reason }
 
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -13,7 +13,8 @@
 
 // Row is one availability zone, keyed by its name.
 type Row struct {
-	out     bool   // whether operators have taken the zone out
-	version uint64 // the resource version of the declaration
-	reason  string // the operator's words for the last change
+	out      bool   // whether operators have taken the zone out
+	version  uint64 // the resource version of the declaration
+	returned uint64 // the resource version at which the zone may have come back last; 0 when it never was out
+	reason   string // the operator's words for the last change
 }
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -31,6 +31,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/wire"
+	"github.com/lagoontrail/lagoon/pkg/budget"
 )
 
 // Bounds of a client.
@@ -39,7 +40,9 @@
 	maxAnswer   = 8 << 20 // bytes
 	dialTimeout = 500 * time.Millisecond
 	askTimeout  = time.Second
-	retryAsk    = time.Second // until the list is asked for again after a failure
+	retryAsk    = time.Second            // until the list is asked for again after a failure
+	patience    = 250 * time.Millisecond // until a second node is asked
+	secondShare = 2                      // percent of queries that may ask a second node
 )
 
 // Client sends queries. Make it with New. It is safe for use by several
@@ -56,6 +59,7 @@
 	expires time.Time
 	next    int
 	asking  bool
+	seconds budget.Tokens
 }
 
 // New returns a client for callers in a zone. seeds are addresses of nodes to
@@ -74,12 +78,60 @@
 
 // Query sends one query. Without an error the answer's outcome says what
 // happened. With an error no answer came: a request that is not idempotent may
-// have run then.
+// have run then. An idempotent query that stays without an answer for long is
+// sent to a second node as well, within a budget, and the first answer counts.
 func (c *Client) Query(ctx context.Context, q lagoon.Query) (lagoon.Answer, error) {
 	data, err := c.codec.EncodeQuery(q)
 	if err != nil {
 		return lagoon.Answer{}, errors.Wrap(err, "query")
 	}
+	if !q.Idempotent() {
+		return c.attempt(ctx, q, data)
+	}
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	ask := func() {
+		a, err := c.attempt(limited, q, data)
+		results <- result{a, err}
+	}
+	go ask()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	waiting := 1
+	var last result
+	for waiting > 0 {
+		select {
+		case last = <-results:
+			if waiting--; last.err == nil {
+				return last.answer, nil
+			}
+		case <-timer.C:
+			if c.maySecond() {
+				waiting++
+				go ask()
+			}
+		}
+	}
+	return last.answer, last.err
+}
+
+// result is the end of one attempt.
+type result struct {
+	answer lagoon.Answer
+	err    error
+}
+
+// maySecond reports whether the budget allows a second node for a query.
+func (c *Client) maySecond() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seconds.Take()
+}
+
+// attempt sends a query to one node, and to others while the first ones surely
+// did not run it.
+func (c *Client) attempt(ctx context.Context, q lagoon.Query, data []byte) (lagoon.Answer, error) {
 	var last error
 	for try := range maxNodes {
 		addr := c.choose(ctx, try)
@@ -87,16 +139,11 @@
 			return lagoon.Answer{}, errors.New("query: no node is known")
 		}
 		answer, err := c.send(ctx, addr, data)
-		if err == nil && (answer.Outcome() != lagoon.OutcomeNotRun || try+1 == maxNodes) {
+		if err == nil && (answer.Outcome() != lagoon.OutcomeNotRun || try > 0) {
 			return answer, nil
 		}
 		if err == nil {
-			// Not run, so it may be sent to another node whatever it is; the
-			// service may be overloaded everywhere, so this happens once.
-			if try > 0 {
-				return answer, nil
-			}
-			continue
+			continue // surely not run, so another node may be asked once, whatever it is
 		}
 		last = err
 		c.drop(addr)
@@ -137,6 +184,9 @@
 	c.refresh(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if try == 0 {
+		c.seconds.Earn(1, secondShare)
+	}
 	if len(c.addrs) == 0 {
 		if len(c.seeds) == 0 {
 			return ""
