--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -826,6 +826,12 @@
 // SetIdempotent sets whether running it twice is harmless.
 func (v *Query) SetIdempotent(x bool) { v.idempotent = x }
 
+// First returns whether the caller surely never sent this id before.
+func (v Query) First() bool { return v.first }
+
+// SetFirst sets whether the caller surely never sent this id before.
+func (v *Query) SetFirst(x bool) { v.first = x }
+
 // MinCoverage returns the smallest share of shards accepted, 0 to 1; 0 takes the rule's.
 func (v Query) MinCoverage() float64 { return v.minCoverage }
 
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sort"
 	"time"
 
@@ -54,6 +55,7 @@
 	Nodes      int            // the number of nodes; 0 takes the deployment's
 	Seconds    int            // the length of the load in seconds; 0 takes the scenario's
 	Log        *logrus.Logger // where decisions are logged; nil logs none
+	Story      io.Writer      // where the tour tells what happens; nil tells nothing
 }
 
 // run is one scenario under way.
--- a/internal/bench/scenarios.go
+++ b/internal/bench/scenarios.go
@@ -51,6 +51,7 @@
 	zone := map[string]float64{"last new work in zone s": zoneBound, "in force s": inForceBound}
 	force := map[string]float64{"in force s": inForceBound}
 	return map[string]scenario{
+		"tour":               {deployment: "small", length: 12 * time.Second, load: tourLoad, script: tour, cutOff: true, bounds: zone},
 		"steady":             {deployment: "nordlys", length: 10 * time.Second, load: ordinary, cutOff: true, bounds: tail},
 		"straggler":          {deployment: "nordlys", length: 10 * time.Second, load: readsOnly, script: straggler, cutOff: true, bounds: map[string]float64{"p99 ms": p99Bound, "extra load %": extraBound}},
 		"cold_start":         {deployment: "nordlys", length: 12 * time.Second, load: ordinary, script: coldStart, cutOff: true},
--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -13,7 +13,19 @@
 	"github.com/lagoontrail/lagoon/internal/bench"
 )
 
-func demoCommand() *cobra.Command { return &cobra.Command{Use: "demo"} }
+func demoCommand() *cobra.Command {
+	var seed uint64
+	c := &cobra.Command{
+		Use: "demo", Short: "Run a whole deployment in one process, with failures, and report", Example: "  lagoontrail demo", Args: cobra.NoArgs,
+		Long: "Runs the platform's stand-in, stand-in servers in three zones and several nodes over loopback. Takes a zone out and back, restarts a server cold and stops a node gracefully, under load. The exit code is 1 when a promise was broken.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			o := bench.Options{Scenario: "tour", Seed: seed, Story: c.OutOrStdout()}
+			return runBench(c, o, []string{"tour"}, "table")
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "the seed of the load")
+	return c
+}
 
 func benchCommand() *cobra.Command {
 	var o bench.Options
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -32,8 +32,8 @@
 		place.System{},
 		watchr.System{},
 		keeper.System{},
+		&publsh.System{},
 		spread.System{},
 		accept.System{},
-		publsh.System{},
 	}
 }
--- a/internal/ctrl/owner/owner.go
+++ b/internal/ctrl/owner/owner.go
@@ -54,6 +54,9 @@
 		status.SetUp(false)
 		row.SetStatus(status)
 	}
+	if row.Assignment() != a || row.Mine() != mine {
+		w.Touch()
+	}
 	row.SetAssignment(a)
 	row.SetMine(mine)
 	acting := mine && (inForce || freed(row, a) || a.Since() < w.Placement().Version())
@@ -62,6 +65,9 @@
 		receiv.Changed(w, row)
 		w.SetBeatSoon(true)
 	}
+	if acting != row.Acting() {
+		w.Touch()
+	}
 	row.SetActing(acting)
 }
 
--- a/internal/ctrl/probe/probe.go
+++ b/internal/ctrl/probe/probe.go
@@ -77,6 +77,7 @@
 	if receiv.Same(before, status) {
 		return
 	}
+	w.Touch()
 	receiv.Changed(w, row)
 	record(w, row.Spec().Name(), before, status, err)
 }
--- a/internal/ctrl/publsh/publsh.go
+++ b/internal/ctrl/publsh/publsh.go
@@ -22,14 +22,53 @@
 	"github.com/lagoontrail/lagoon/pkg/claim"
 )
 
-// System publishes views.
-type System struct{}
+// System publishes views. The zero value works; it remembers what the last view
+// was made of.
+type System struct {
+	last key
+}
+
+// key names what a view is made of, but for the lease.
+type key struct {
+	config, placement, touched, live uint64
+	refusing                         bool
+}
 
 // Name returns the system's name.
-func (System) Name() string { return "publsh" }
+func (*System) Name() string { return "publsh" }
+
+// Run publishes a view of the tables if they changed. When only the lease did,
+// which is so after most heartbeats, the rows of the last view serve again.
+func (s *System) Run(w *world.World, now time.Duration) {
+	k := key{w.Config().Revision(), w.Placement().Version(), w.Touched(), live(w, now), w.Refusing()}
+	before := w.Current().Load()
+	if k == s.last {
+		if before.LeaseUntil() != w.Lease() {
+			v := *before
+			v.SetLeaseUntil(w.Lease())
+			w.Current().Store(&v)
+		}
+		return
+	}
+	s.last = k
+	w.Current().Store(s.build(w, now))
+	if before.Placement() != k.placement || before.Config() != k.config {
+		wake(w)
+	}
+}
+
+// live returns a hash of which nodes are live.
+func live(w *world.World, now time.Duration) uint64 {
+	h := uint64(w.Nodes().Len())
+	for i := range w.Nodes().Len() {
+		if w.Live(w.Nodes().Key(i), now) {
+			h = h*31 + uint64(i) + 1
+		}
+	}
+	return h
+}
 
-// Run publishes a view of the tables.
-func (s System) Run(w *world.World, now time.Duration) {
+func (s *System) build(w *world.World, now time.Duration) *view.View {
 	v := &view.View{}
 	v.SetSelf(w.Self().Name())
 	v.SetStart(w.Self().Start())
@@ -42,10 +81,7 @@
 	v.SetKeepers(s.keepers(w, now))
 	s.servers(w, v, now)
 	s.services(w, v)
-	before := w.Current().Swap(v)
-	if before.Placement() != v.Placement() || before.Config() != v.Config() {
-		wake(w)
-	}
+	return v
 }
 
 // wake makes the lanes look at a new view at once.
@@ -55,7 +91,7 @@
 	}
 }
 
-func (System) peers(w *world.World) map[string]string {
+func (*System) peers(w *world.World) map[string]string {
 	peers := make(map[string]string, w.Nodes().Len())
 	for i := range w.Nodes().Len() {
 		peers[w.Nodes().Key(i)] = w.Nodes().At(i).Member().Addr()
@@ -65,7 +101,7 @@
 
 // keepers returns the address of the keeper of each claim bucket, chosen among
 // the live members by the highest hash.
-func (System) keepers(w *world.World, now time.Duration) []string {
+func (*System) keepers(w *world.World, now time.Duration) []string {
 	var live []lagoon.Member
 	for _, m := range w.Placement().Members() {
 		if w.Live(m.Name(), now) {
@@ -94,7 +130,7 @@
 	return xxhash.Sum64String(m.Name() + "/" + string(rune('A'+bucket)))
 }
 
-func (s System) servers(w *world.World, v *view.View, now time.Duration) {
+func (s *System) servers(w *world.World, v *view.View, now time.Duration) {
 	n := w.Servers().Len()
 	list := make([]srvvw.Row, n)
 	index := make(map[string]int, n)
@@ -106,7 +142,7 @@
 	v.SetIndex(index)
 }
 
-func (System) server(w *world.World, out *srvvw.Row, row *srvrs.Row, now time.Duration) {
+func (*System) server(w *world.World, out *srvvw.Row, row *srvrs.Row, now time.Duration) {
 	spec, a, status := row.Spec(), row.Assignment(), row.Status()
 	out.SetName(spec.Name())
 	out.SetAddr(spec.Addr())
@@ -140,7 +176,7 @@
 	}
 }
 
-func (s System) services(w *world.World, v *view.View) {
+func (s *System) services(w *world.World, v *view.View) {
 	n := w.Services().Len()
 	list := make([]svcvw.Row, n)
 	index := make(map[string]int, n)
@@ -154,7 +190,7 @@
 	v.SetSvcIndex(index)
 }
 
-func (System) service(v *view.View, out *svcvw.Row, svc lagoon.Service) {
+func (*System) service(v *view.View, out *svcvw.Row, svc lagoon.Service) {
 	out.SetName(svc.Name())
 	out.SetMapVersion(svc.MapVersion())
 	position := map[string]int{}
--- a/internal/ctrl/receiv/receiv.go
+++ b/internal/ctrl/receiv/receiv.go
@@ -59,6 +59,7 @@
 	}
 	if from.Start() > n.Member().Start() || n.Gone() {
 		*n = nodes.Row{}
+		w.Touch()
 		n.SetMember(from)
 		n.SetKnownAt(now)
 		w.Act("node_seen", from.Name(), "first heartbeat of this run, from "+from.Addr()+" in zone "+from.Zone())
@@ -93,6 +94,7 @@
 	}
 	row.SetStatus(status)
 	row.SetHeard(now)
+	w.Touch()
 }
 
 // own merges what a lane of this node tells of a server's gate.
@@ -114,6 +116,7 @@
 	status.SetEjected(told.Ejected())
 	row.SetHeard(now)
 	row.SetStatus(status)
+	w.Touch()
 	if before.Limit() != told.Limit() || before.Ejected() != told.Ejected() || moved(row.Spread(), told.Latency()) {
 		row.SetSpread(told.Latency())
 		Changed(w, row)
--- a/internal/ctrl/stand/stand.go
+++ b/internal/ctrl/stand/stand.go
@@ -31,8 +31,24 @@
 	s.settle(w, now)
 }
 
+// lease computes the lease. Until the placement in use is settled, a majority of
+// the previous members is needed as well: they may know something newer that the
+// new ones do not.
 func (s *System) lease(w *world.World, now time.Duration) {
-	members := remaining(w, w.Placement().Members())
+	until := s.until(w, w.Placement().Members(), now)
+	if w.SettledAt() == 0 && len(w.Placement().Previous()) > 0 {
+		until = min(until, s.until(w, w.Placement().Previous(), now))
+	}
+	if w.Config().Revision() == 0 {
+		until = 0
+	}
+	w.SetLease(max(w.Lease(), until))
+	s.report(w, w.Lease() <= now)
+}
+
+// until returns the end of the lease that a majority of some members gives.
+func (s *System) until(w *world.World, all []lagoon.Member, now time.Duration) time.Duration {
+	members := remaining(w, all)
 	s.count.Reset(len(members))
 	for _, m := range members {
 		if m.Name() == w.Self().Name() {
@@ -44,12 +60,7 @@
 			s.count.Add(n.Returned())
 		}
 	}
-	until := s.count.Until(lease.Length)
-	if w.Config().Revision() == 0 {
-		until = 0
-	}
-	w.SetLease(max(w.Lease(), until))
-	s.report(w, w.Lease() <= now)
+	return s.count.Until(lease.Length)
 }
 
 // report records when the lease is lost and found.
@@ -76,7 +87,9 @@
 	return out
 }
 
-// settle notes when a majority of the previous members knows the placement.
+// settle notes when a majority of the previous members knows the placement and
+// no configuration newer than this node's. From then on this node's own
+// configuration is as new as any that is in force.
 func (s *System) settle(w *world.World, now time.Duration) {
 	if w.SettledAt() > 0 || w.Placement().Version() == 0 {
 		return
@@ -86,7 +99,7 @@
 	for _, m := range previous {
 		n, ok := w.Nodes().Find(m.Name())
 		mine := m.Name() == w.Self().Name()
-		if mine || (ok && n.Member().Start() == m.Start() && n.Placement() >= w.Placement().Version()) {
+		if mine || (ok && n.Member().Start() == m.Start() && n.Placement() >= w.Placement().Version() && n.Config() <= w.Config().Revision()) {
 			know++
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -286,7 +286,11 @@
 	row.SetReply(reply)
 	box := n.boxes[n.next.Add(1)%uint64(len(n.boxes))]
 	if !box.TryPost(row) {
-		return refusal(q, n.settings.Name(), lagoon.OutcomeNotRun, "overload: the node has too many messages waiting")
+		outcome := lagoon.OutcomeNotRun
+		if !q.Idempotent() && !q.First() {
+			outcome = lagoon.OutcomeUnknown // an earlier sending of the id may have run
+		}
+		return refusal(q, n.settings.Name(), outcome, "overload: the node has too many messages waiting")
 	}
 	select {
 	case a := <-reply:
--- a/internal/trfc/finish/finish.go
+++ b/internal/trfc/finish/finish.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		s.withdraw(l, q)
-		a := s.compose(l, q)
+		a := truthful(q, s.compose(l, q))
 		s.count(l, q, now)
 		s.void(l, id, q, a)
 		q.Reply() <- a
@@ -65,6 +65,18 @@
 	}
 }
 
+// truthful takes not_run back where this node cannot know it. A request id that
+// the caller may have sent before, and on which this attempt holds no claim, may
+// have run by the earlier sending.
+func truthful(q *qrys.Row, a lagoon.Answer) lagoon.Answer {
+	if a.Outcome() != lagoon.OutcomeNotRun || q.Query().Idempotent() || q.Query().First() || q.Claimed() {
+		return a
+	}
+	a.SetOutcome(lagoon.OutcomeUnknown)
+	a.SetReason("an earlier sending of the request id may have run; this one did not: " + a.Reason())
+	return a
+}
+
 func (s System) compose(l *lane.Lane, q *qrys.Row) lagoon.Answer {
 	var a lagoon.Answer
 	a.SetID(q.Query().ID())
@@ -148,9 +160,11 @@
 }
 
 // void gives the claim of a query back that surely did not run, so that the
-// caller may send it again under the same id.
+// caller may send it again under the same id. Only a first sending does: after a
+// repeated one, the claim must stay to keep a delayed earlier sending from
+// running after its caller was told that the request did not run.
 func (System) void(l *lane.Lane, id lagoon.RowID, q *qrys.Row, a lagoon.Answer) {
-	if a.Outcome() != lagoon.OutcomeNotRun || q.Attempt() == 0 {
+	if a.Outcome() != lagoon.OutcomeNotRun || q.Attempt() == 0 || !q.Query().First() {
 		return
 	}
 	var k claim.Keeper
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -19,6 +19,7 @@
 	Body        string  `json:"body"`
 	TimeoutMS   int     `json:"timeout_ms"`
 	Idempotent  *bool   `json:"idempotent"`
+	First       bool    `json:"first"`
 	MinCoverage float64 `json:"min_coverage"`
 }
 
@@ -71,6 +72,7 @@
 	q.SetBody([]byte(form.Body))
 	q.SetTimeout(timeout)
 	q.SetIdempotent(form.Idempotent == nil || *form.Idempotent)
+	q.SetFirst(form.First)
 	q.SetMinCoverage(form.MinCoverage)
 	return q, nil
 }
@@ -80,7 +82,7 @@
 	idempotent := q.Idempotent()
 	return json.Marshal(queryBody{
 		ID: q.ID(), Service: q.Service(), Body: string(q.Body()),
-		TimeoutMS: int(q.Timeout().Milliseconds()), Idempotent: &idempotent, MinCoverage: q.MinCoverage(),
+		TimeoutMS: int(q.Timeout().Milliseconds()), Idempotent: &idempotent, First: q.First(), MinCoverage: q.MinCoverage(),
 	})
 }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -786,7 +786,8 @@
 	Body        []byte        `cbor:"3,keyasint,omitempty" json:"body,omitempty"`
 	Timeout     time.Duration `cbor:"4,keyasint,omitempty" json:"timeout,omitempty"`
 	Idempotent  bool          `cbor:"5,keyasint,omitempty" json:"idempotent,omitempty"`
-	MinCoverage float64       `cbor:"6,keyasint,omitempty" json:"min_coverage,omitempty"`
+	First       bool          `cbor:"6,keyasint,omitempty" json:"first,omitempty"`
+	MinCoverage float64       `cbor:"7,keyasint,omitempty" json:"min_coverage,omitempty"`
 }
 
 func toQuery(v lagoon.Query) queryForm {
@@ -796,6 +797,7 @@
 		Body:        v.Body(),
 		Timeout:     v.Timeout(),
 		Idempotent:  v.Idempotent(),
+		First:       v.First(),
 		MinCoverage: v.MinCoverage(),
 	}
 }
@@ -807,6 +809,7 @@
 	v.SetBody(m.Body)
 	v.SetTimeout(m.Timeout)
 	v.SetIdempotent(m.Idempotent)
+	v.SetFirst(m.First)
 	v.SetMinCoverage(m.MinCoverage)
 	return v
 }
--- a/internal/world/accessors_gen.go
+++ b/internal/world/accessors_gen.go
@@ -128,6 +128,12 @@
 // SetChange sets the counter of status changes.
 func (v *World) SetChange(x uint64) { v.change = x }
 
+// Touched returns the counter of changes that the next view must show.
+func (v *World) Touched() uint64 { return v.touched }
+
+// SetTouched sets the counter of changes that the next view must show.
+func (v *World) SetTouched(x uint64) { v.touched = x }
+
 // Platform returns when the platform last answered.
 func (v *World) Platform() time.Duration { return v.platform }
 
--- a/internal/world/adopt.go
+++ b/internal/world/adopt.go
@@ -15,6 +15,7 @@
 	}
 	before := w.config
 	w.config = c
+	w.Touch()
 	w.configAt = w.clock.Now()
 	w.beatSoon = true
 	w.takeZones(c, c.Revision() > before.Revision()+1)
@@ -110,6 +111,7 @@
 		return false
 	}
 	w.placement = p
+	w.Touch()
 	w.placedAt = w.clock.Now()
 	w.settledAt = 0
 	w.beatSoon = true
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -65,6 +65,7 @@
 	refusing  bool                       // whether the node refuses new queries
 	loaded    bool                       // whether the platform or a peer told the configuration and the placement
 	change    uint64                     // the counter of status changes
+	touched   uint64                     // the counter of changes that the next view must show
 	platform  time.Duration              // when the platform last answered
 	differed  time.Duration              // since when the wanted placement differs; 0 when it does not
 	placing   bool                       // whether a placement is being written
@@ -133,6 +134,9 @@
 // Asks returns the claims asked for in this tick.
 func (w *World) Asks() []*lagoon.ClaimAsk { return w.asks }
 
+// Touch says that the next view must show a change.
+func (w *World) Touch() { w.touched++ }
+
 // Wait adds a waiter.
 func (w *World) Wait(f Waiter) { w.pending = append(w.pending, f) }
 
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -38,6 +38,7 @@
 const (
 	maxNodes    = 3       // nodes tried for one query
 	maxAnswer   = 8 << 20 // bytes
+	maxUnsent   = 65536   // ids made and not sent that are remembered
 	dialTimeout = 500 * time.Millisecond
 	askTimeout  = time.Second
 	retryAsk    = time.Second            // until the list is asked for again after a failure
@@ -60,6 +61,7 @@
 	next    int
 	asking  bool
 	seconds budget.Tokens
+	unsent  map[string]bool
 }
 
 // New returns a client for callers in a zone. seeds are addresses of nodes to
@@ -71,9 +73,26 @@
 	return c, t.CloseIdleConnections
 }
 
-// NewID returns a fresh id for a request that is not idempotent.
-func (*Client) NewID() string {
-	return fmt.Sprintf("%d-%s", time.Now().UnixMilli(), uuid.NewString())
+// NewID returns a fresh id for a request that is not idempotent. The client
+// remembers that it was not sent yet, which lets a node say that it did not run.
+func (c *Client) NewID() string {
+	id := fmt.Sprintf("%d-%s", time.Now().UnixMilli(), uuid.NewString())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unsent == nil || len(c.unsent) >= maxUnsent {
+		c.unsent = map[string]bool{}
+	}
+	c.unsent[id] = true
+	return id
+}
+
+// firstSending reports whether an id was never sent, and notes that it is now.
+func (c *Client) firstSending(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.unsent[id]
+	delete(c.unsent, id)
+	return first
 }
 
 // Query sends one query. Without an error the answer's outcome says what
@@ -81,6 +100,7 @@
 // have run then. An idempotent query that stays without an answer for long is
 // sent to a second node as well, within a budget, and the first answer counts.
 func (c *Client) Query(ctx context.Context, q lagoon.Query) (lagoon.Answer, error) {
+	q.SetFirst(c.firstSending(q.ID()))
 	data, err := c.codec.EncodeQuery(q)
 	if err != nil {
 		return lagoon.Answer{}, errors.Wrap(err, "query")
--- a/values.go
+++ b/values.go
@@ -133,6 +133,7 @@
 	body        []byte        // the request body, handed to each server
 	timeout     time.Duration // the time the caller waits; 0 takes the rule's
 	idempotent  bool          // whether running it twice is harmless
+	first       bool          // whether the caller surely never sent this id before
 	minCoverage float64       // the smallest share of shards accepted, 0 to 1; 0 takes the rule's
 }
 
