--- /dev/null
+++ b/internal/ctrl/keeper/keeper_test.go
@@ -0,0 +1,133 @@
+package keeper_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/clocks"
+	"github.com/lagoontrail/lagoon/internal/ctrl/keeper"
+	"github.com/lagoontrail/lagoon/internal/htplat"
+	"github.com/lagoontrail/lagoon/internal/mbox"
+	"github.com/lagoontrail/lagoon/internal/repo"
+	"github.com/lagoontrail/lagoon/internal/stdplt"
+	"github.com/lagoontrail/lagoon/internal/world"
+	"github.com/lagoontrail/lagoon/pkg/claim"
+)
+
+// keeperNode is one node that keeps claims, with the lane that asked.
+type keeperNode struct {
+	w    *world.World
+	lane *mbox.Box
+}
+
+func newKeeper(t *testing.T, name, url string) *keeperNode {
+	t.Helper()
+	w, stop := world.New(mbox.New(64))
+	t.Cleanup(stop)
+	n := &keeperNode{w: w, lane: mbox.New(64)}
+	var self lagoon.Member
+	self.SetName(name)
+	w.SetSelf(self)
+	w.SetClock(clocks.New())
+	w.SetRepo(repo.New(htplat.New(url, 0)))
+	w.SetLanes([]*mbox.Box{n.lane})
+	w.SetSystems([]lagoon.System[*world.World]{keeper.System{}})
+	return n
+}
+
+// claimOp is an attempt to claim an id, for the history.
+type claimOp struct {
+	request string
+	attempt uint64
+}
+
+// model is a register per id that the first attempt takes for good. An outcome
+// that is not certain allows both.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byID := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			id := op.Input.(claimOp).request
+			byID[id] = append(byID[id], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byID {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		holder, op := state.(uint64), input.(claimOp)
+		switch output.(lagoon.ClaimOutcome) {
+		case lagoon.ClaimGranted:
+			return holder == 0 || holder == op.attempt, op.attempt
+		case lagoon.ClaimHeld:
+			return holder != 0 && holder != op.attempt, holder
+		}
+		return true, holder
+	},
+}
+
+// Two keepers that both think that they keep the bucket, under outages and lost
+// replies: the claims they grant are those of one register per id.
+func TestClaimsAreLinearizable(t *testing.T) {
+	platform := stdplt.New()
+	srv := httptest.NewServer(platform)
+	defer srv.Close()
+	keepers := []*keeperNode{newKeeper(t, "n0", srv.URL), newKeeper(t, "n1", srv.URL)}
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wg sync.WaitGroup
+	for k, n := range keepers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ops := n.drive(t, k)
+			mu.Lock()
+			defer mu.Unlock()
+			history = append(history, ops...)
+		}()
+	}
+	for i := range 6 {
+		time.Sleep(150 * time.Millisecond)
+		platform.SetFaults([]int{0, stdplt.LostReplies, stdplt.Outage}[i%3])
+	}
+	platform.SetFaults(0)
+	wg.Wait()
+	if got, want := porcupine.CheckOperations(model, history), true; got != want {
+		t.Errorf("the history of %d claims is linearizable: got %v, want %v", len(history), got, want)
+	}
+}
+
+// drive lets a keeper decide on claims, one batch after the other, of ids that
+// the other keeper is asked for as well.
+func (n *keeperNode) drive(t *testing.T, k int) []porcupine.Operation {
+	ctx := t.Context()
+	var ops []porcupine.Operation
+	made := time.Now().UnixMilli()
+	go func() { _ = n.w.Run(ctx) }()
+	for i := range 40 {
+		id := fmt.Sprintf("%d-%d", made/10000*10000, i)
+		if (claim.Keeper{}).Bucket(id)%2 == 1 {
+			continue
+		}
+		a := &lagoon.ClaimAsk{}
+		a.SetFrom(n.w.Self().Name())
+		a.SetRequest(id)
+		a.SetAttempt(uint64(100*k + i + 1))
+		called := time.Now().UnixNano()
+		n.w.Do(func(w *world.World) { w.Tick([]any{a}) })
+		for _, m := range n.lane.Wait(ctx, 5*time.Second, nil) {
+			out := m.(*lagoon.ClaimTold).Outcome()
+			ops = append(ops, porcupine.Operation{ClientId: k, Input: claimOp{id, a.Attempt()}, Call: called, Output: out, Return: time.Now().UnixNano()})
+		}
+	}
+	return ops
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,98 @@
+package wire_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/wire"
+)
+
+func batch() *lagoon.LegBatch {
+	var leg lagoon.Leg
+	leg.SetID(7)
+	leg.SetServer("archive-desk-00a")
+	leg.SetHedge(true)
+	b := &lagoon.LegBatch{}
+	b.SetFrom("entry-1")
+	b.SetSnapshot(lagoon.NewSnapshot(2, 9))
+	b.SetTimeout(65 * time.Millisecond)
+	b.SetBody([]byte("red coat"))
+	b.SetLegs([]lagoon.Leg{leg})
+	return b
+}
+
+func TestMessagesSurviveEncoding(t *testing.T) {
+	beat := &lagoon.Beat{}
+	beat.SetSent(time.Second)
+	var status lagoon.ServerStatus
+	status.SetServer("s")
+	status.SetSnapshots([]lagoon.Snapshot{lagoon.NewSnapshot(1, 2)})
+	beat.SetStatuses([]lagoon.ServerStatus{status})
+	push := &lagoon.ConfigPush{}
+	var cfg lagoon.Config
+	cfg.SetRevision(4)
+	push.SetConfig(cfg)
+	for _, want := range []lagoon.Message{batch(), beat, push, &lagoon.PlacementPush{}, &lagoon.LegResults{}, &lagoon.LegCancel{}, &lagoon.ClaimAsk{}, &lagoon.ClaimTold{}} {
+		data, err := wire.Codec{}.Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := wire.Codec{}.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+func TestBadResourcesAreRefused(t *testing.T) {
+	cases := map[string]string{
+		"unknown field":  `{"state":"in","colour":"red"}`,
+		"wrong type":     `{"state":7}`,
+		"two values":     `{"state":"in"}{"state":"out"}`,
+		"not an object":  `[]`,
+		"cut short":      `{"state":"in"`,
+		"empty":          ``,
+		"a plain number": `3`,
+	}
+	for name, body := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, err := (wire.Codec{}).DecodeChange("zone", "cph-1", []byte(body)); err == nil {
+				t.Error("got no error, want one")
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := wire.Codec{}.Encode(batch())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := wire.Codec{}.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := (wire.Codec{}).Encode(m); err != nil {
+			t.Errorf("a decoded message could not be encoded: %v", err)
+		}
+	})
+}
+
+func FuzzQuery(f *testing.F) {
+	f.Add([]byte(`{"service":"archive-desk","body":"red coat","timeout_ms":65}`))
+	f.Add([]byte(`{"service":"casting-book","idempotent":false}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		q, err := wire.Codec{}.DecodeQuery(data)
+		if err == nil && (q.Service() == "" || q.Timeout() < 0 || (!q.Idempotent() && q.ID() == "")) {
+			t.Errorf("got the query %+v, want an error", q)
+		}
+	})
+}
