--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lagoontrail/lagoon/internal/bench"
+	"github.com/lagoontrail/lagoon/internal/slope"
 )
 
 func demoCommand() *cobra.Command {
@@ -29,10 +30,10 @@
 
 func benchCommand() *cobra.Command {
 	var o bench.Options
-	var output, trace string
+	var output, trace, out string
 	c := &cobra.Command{
 		Use: "bench", Short: "Run a scenario of load and failures, and check the promises",
-		Long:    "Runs real nodes over loopback with stand-in servers. Scenarios: all, " + strings.Join(bench.Names(), ", ") + ".",
+		Long:    "Runs real nodes over loopback with stand-in servers. Scenarios: all, slope, " + strings.Join(bench.Names(), ", ") + ".",
 		Example: "  lagoontrail bench --scenario straggler --seed 7\n  lagoontrail bench --scenario straggler --policy baseline", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			log, closeLog, err := traceLog(trace)
@@ -41,6 +42,9 @@
 			}
 			defer closeLog()
 			o.Log = log
+			if o.Scenario == "slope" {
+				return runSlope(c, out)
+			}
 			names := []string{o.Scenario}
 			if o.Scenario == "all" {
 				names = bench.Names()
@@ -54,11 +58,22 @@
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "the seed of the load")
 	c.Flags().IntVar(&o.Nodes, "nodes", 0, "the number of nodes; the deployment's own when 0")
 	c.Flags().IntVar(&o.Seconds, "seconds", 0, "the length of the load in seconds; the scenario's own when 0")
+	c.Flags().StringVar(&out, "out", "", "a folder for the tables and plots of the scenario slope")
 	c.Flags().StringVar(&trace, "trace", "", "a file for the decisions, as JSON lines")
 	c.Flags().StringVarP(&output, "output", "o", "table", "how to print: json or table")
 	return c
 }
 
+// runSlope measures how control grows, and prints or writes the tables.
+func runSlope(c *cobra.Command, out string) error {
+	points := slope.Measure()
+	if out != "" {
+		return slope.Write(out, points)
+	}
+	_, err := fmt.Fprint(c.OutOrStdout(), slope.Markdown(points))
+	return err
+}
+
 func runBench(c *cobra.Command, o bench.Options, names []string, output string) error {
 	broken := false
 	for _, name := range names {
--- /dev/null
+++ b/internal/rig/bench_test.go
@@ -0,0 +1,91 @@
+package rig_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/deploy"
+	"github.com/lagoontrail/lagoon/internal/htup"
+	"github.com/lagoontrail/lagoon/internal/rig"
+	"github.com/lagoontrail/lagoon/pkg/caller"
+)
+
+// shards is the number of shards of the small deployment's read service.
+const shards = 5
+
+// fast starts a small deployment whose servers answer within microseconds.
+func fast(b *testing.B, nodes int) *rig.Rig {
+	b.Helper()
+	d, err := deploy.Named("small")
+	if err != nil {
+		b.Fatal(err)
+	}
+	r, stop, err := rig.Start(d, nodes, 10, nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(stop)
+	for _, s := range r.Servers() {
+		s.SetSlow(0.001)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := r.Ready(ctx); err != nil {
+		b.Fatal(err)
+	}
+	return r
+}
+
+func report(b *testing.B) {
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "queries/s")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*shards), "us/leg")
+}
+
+// BenchmarkNode measures queries through one node over loopback.
+func BenchmarkNode(b *testing.B) {
+	r := fast(b, 1)
+	c, stop := caller.New("cph-1", r.Addrs()...)
+	defer stop()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := c.Query(context.Background(), read("archive-desk")); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	report(b)
+}
+
+// BenchmarkPlainFanOut measures the same servers asked by one goroutine each,
+// without a node and without any policy.
+func BenchmarkPlainFanOut(b *testing.B) {
+	r := fast(b, 1)
+	up, stop := htup.New()
+	defer stop()
+	servers := r.Config(0).Services()[0].Servers()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for n := 0; pb.Next(); n++ {
+			var wg sync.WaitGroup
+			for shard := range shards {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					var call lagoon.Call
+					call.SetAddr(servers[shard*3+n%3].Addr())
+					call.SetService("archive-desk")
+					call.SetShard(uint32(shard))
+					call.SetSnapshot(lagoon.NewSnapshot(1, 1))
+					call.SetTimeout(time.Second)
+					up.Send(context.Background(), call)
+				}()
+			}
+			wg.Wait()
+		}
+	})
+	report(b)
+}
