Let hedges go out when a replica's load was told long ago

The slow queries' legs showed stragglers of 72 ms without any hedge, with nine tokens left: the other replicas counted as full by what they had told long before, and stayed so as nobody asked them. Change: a told load counts for 10 ms; a hedge that found no server is tried again after 4 ms; rescues take from the retry budget; a slow answer counts as overdue; only a climb, not one answer, ends the doubling of an ejection's cooldown (the related paper's reviewers left a single success to reset it; here a slow server then came back each 500 ms). explain asks all nodes.

--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -294,7 +294,7 @@
 			if len(args) == 1 {
 				args = []string{"query", args[0]}
 			}
-			data, err := client.Get(c.Context(), "/v1/explain/"+args[0]+"/"+args[1])
+			data, err := client.Explain(c.Context(), args[0], args[1])
 			if err != nil {
 				return err
 			}
--- a/internal/htapi/status.go
+++ b/internal/htapi/status.go
@@ -41,7 +41,7 @@
 	Limit    int    `json:"limit"`
 	Slots    int    `json:"slots"`
 	Load     int    `json:"load"`
-	StartID  uint64 `json:"start_id"`
+	StartID  uint64 `json:"start_id,string"`
 	Acting   bool   `json:"this_node_admits"`
 	Snapshot string `json:"newest_snapshot"`
 }
--- a/internal/opcli/opcli.go
+++ b/internal/opcli/opcli.go
@@ -50,6 +50,55 @@
 	return data, nil
 }
 
+// statusHead is the part of a node's status that names the nodes.
+type statusHead struct {
+	Nodes []struct {
+		Name string `json:"name"`
+		Addr string `json:"addr"`
+	} `json:"nodes"`
+}
+
+// explanation is what one node decided about something.
+type explanation struct {
+	Kind      string           `json:"kind"`
+	Name      string           `json:"name"`
+	State     any              `json:"state,omitempty"`
+	Decisions []map[string]any `json:"decisions"`
+	Silent    []string         `json:"nodes_not_reached,omitempty"`
+}
+
+// Explain asks every node that this one knows what it decided about something,
+// and merges the decisions in the order of their times.
+func (c *Client) Explain(ctx context.Context, kind, name string) ([]byte, error) {
+	path := "/v1/explain/" + kind + "/" + name
+	var all explanation
+	data, err := c.Get(ctx, path)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, errors.Wrap(err, "read the explanation")
+	}
+	if data, err = c.Get(ctx, "/v1/status"); err != nil {
+		return nil, err
+	}
+	var status statusHead
+	if err := json.Unmarshal(data, &status); err != nil {
+		return nil, errors.Wrap(err, "read the status")
+	}
+	for _, n := range status.Nodes {
+		var one explanation
+		data, err := New(n.Addr).Get(ctx, path)
+		if err != nil || json.Unmarshal(data, &one) != nil {
+			all.Silent = append(all.Silent, n.Name)
+			continue
+		}
+		all.Decisions = append(all.Decisions, one.Decisions...)
+	}
+	sort.SliceStable(all.Decisions, func(i, j int) bool { return fmt.Sprint(all.Decisions[i]["at"]) < fmt.Sprint(all.Decisions[j]["at"]) })
+	return json.Marshal(all)
+}
+
 // Apply declares a resource, based on the version that the node has now.
 func (c *Client) Apply(ctx context.Context, kind, name string, body []byte) (string, error) {
 	version, _, err := c.current(ctx, kind, name)
--- a/internal/trfc/eject/eject.go
+++ b/internal/trfc/eject/eject.go
@@ -26,7 +26,7 @@
 // Bounds of ejection.
 const (
 	failuresInRow  = 3
-	overdueInRow   = 6
+	overdueInRow   = 4
 	baseCooldown   = 500 * time.Millisecond
 	maxCooldown    = 10 * time.Second
 	othersAnswered = 2 * time.Second // how recent an answer of another server must be
@@ -96,9 +96,9 @@
 		return
 	case status == lagoon.StatusOK:
 		g.SetStrikes(0)
-		g.SetOverdue(0)
 		g.SetLastOK(now)
-		if g.Ejected() == 0 {
+		// One answer does not show that a server has recovered; a climb does.
+		if g.Ejected() == 0 && g.Ramp().Limit() > 1 {
 			g.SetEjects(0)
 		}
 		return
@@ -113,15 +113,16 @@
 	}
 }
 
-// Overdue counts a request that this node cancelled before it was answered,
-// because another replica answered first. A server that answers nothing in time
-// is held back as well, as long as another one can answer in its place.
+// Overdue counts a request that took far longer than the server's requests do
+// while it is well, whether it was answered in the end or cancelled because
+// another replica answered first. A server that answers nothing in time is held
+// back as well, as long as another one can answer in its place.
 func Overdue(l *lane.Lane, name string, g *gates.Row, now time.Duration) {
 	g.SetOverdue(g.Overdue() + 1)
 	if g.Overdue() < overdueInRow || g.Ejected() > 0 || l.FanOut() || !replaceable(l, name) {
 		return
 	}
-	hold(l, name, g, now, fmt.Sprintf("%d requests in a row were answered by another replica first", overdueInRow))
+	hold(l, name, g, now, fmt.Sprintf("%d requests in a row took far longer than usual", overdueInRow))
 }
 
 // replaceable reports whether another server of the same group is usable.
--- a/internal/trfc/hedger/hedger.go
+++ b/internal/trfc/hedger/hedger.go
@@ -22,10 +22,14 @@
 // overloadMemory is how long a refusal stops hedges for its service.
 const overloadMemory = 20 * time.Millisecond
 
+// fullFor is how long a server that was told to be full counts as full; its
+// owner refuses a hedge without a free slot in any case.
+const fullFor = 10 * time.Millisecond
+
 // Bounds of suspicion against an owner.
 const (
-	suspectTypicals = 2                      // times the usual time that a leg is overdue
-	suspectLeast    = 15 * time.Millisecond  // the same, at least
+	suspectTypicals = 3                      // times the usual time that a leg is overdue
+	suspectLeast    = 25 * time.Millisecond  // the same, at least
 	suspectFor      = 500 * time.Millisecond // until the owner is tried again
 	maxRescues      = 4                      // requests for one shard
 )
@@ -73,7 +77,7 @@
 	case s.suspect(l, leg, state.Typical(), now):
 		s.rescue(l, leg.Query(), q, leg, now)
 	case hedge:
-		s.hedge(l, leg.Query(), q, leg.Shard(), leg.Server())
+		s.hedge(l, leg.Query(), q, leg, now)
 	}
 }
 
@@ -87,9 +91,9 @@
 	return !ok || p.Answered() < leg.Sent()
 }
 
-// rescue sends a leg of a suspected owner to another one. It takes nothing from
-// the hedge budget, as the suspected owner most likely sends nothing; each leg
-// is rescued once.
+// rescue sends a leg of a suspected owner to another one. It takes from the
+// retry budget, since the hedge budget is soon used up when an owner fails, and
+// the suspicion may be wrong.
 func (s *System) rescue(l *lane.Lane, id lagoon.RowID, q *qrys.Row, leg *legs.Row, now time.Duration) {
 	p := l.Peers().Ensure(leg.Owner())
 	if p.SuspectUntil() <= now {
@@ -101,7 +105,7 @@
 		return
 	}
 	server, ok := s.servers.Choose(l, q, shard)
-	if !ok {
+	if !ok || !l.Services().Ensure(q.Query().Service()).RetriesRef().Take() {
 		return
 	}
 	q.SetRetries(q.Retries() + 1)
@@ -109,12 +113,13 @@
 	l.Note("leg_rescued", server.Name(), q.Query().ID(), "the owner of "+slow+" is silent")
 }
 
-func (s *System) hedge(l *lane.Lane, id lagoon.RowID, q *qrys.Row, shard int, slow string) {
+func (s *System) hedge(l *lane.Lane, id lagoon.RowID, q *qrys.Row, leg *legs.Row, now time.Duration) {
+	shard, slow := leg.Shard(), leg.Server()
 	server, ok := s.servers.Choose(l, q, shard)
 	if !ok {
 		return
 	}
-	if load, known := l.Loads().Find(server.Name()); known && load.Limit() > 0 && load.Told() >= load.Limit() {
+	if load, known := l.Loads().Find(server.Name()); known && now-load.Heard() < fullFor && load.Told() >= load.Limit() {
 		return
 	}
 	if !l.Services().Ensure(q.Query().Service()).HedgesRef().Take() {
--- a/internal/trfc/settle/settle.go
+++ b/internal/trfc/settle/settle.go
@@ -69,8 +69,11 @@
 		l.Touch(j.Gate())
 	}
 	s.observe(l, j, g)
-	if j.Withdrawn() && status == lagoon.StatusUnknown && g.Warm() > 0 && j.Took() > coldFactor*g.Warm() {
+	switch slow := g.Warm() > 0 && j.Took() > coldFactor*g.Warm(); {
+	case slow && (status == lagoon.StatusOK || j.Withdrawn()):
 		eject.Overdue(l, l.Gates().KeyOf(j.Gate()), g, now)
+	case status == lagoon.StatusOK:
+		g.SetOverdue(0)
 	}
 	excused := interrupted && !hung(j, g)
 	eject.Judge(l, l.Gates().KeyOf(j.Gate()), g, status, excused, now)
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -14,7 +14,7 @@
 // Bounds of a budget, in tokens.
 const (
 	burst  = 20.0 // the most that may be saved up
-	credit = 10.0 // what a new budget starts with, so that the first straggler can be fought
+	credit = 4.0  // what a new budget starts with, so that the first straggler can be fought
 )
 
 // Tokens is a budget. The zero value has its first credit.
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -21,6 +21,9 @@
 // minWait is the shortest wait before a leg is hedged.
 const minWait = 2 * time.Millisecond
 
+// askAgain is the wait after which a hedge that found no server is tried again.
+const askAgain = 4 * time.Millisecond
+
 // maxTries is the number of requests for one shard that run at once.
 const maxTries = 3
 
@@ -43,5 +46,5 @@
 	if v.Overload() || v.Tokens() < 1 {
 		return false, minWait
 	}
-	return true, after
+	return true, askAgain
 }
