--- a/internal/lane/outbox.go
+++ b/internal/lane/outbox.go
@@ -98,7 +98,7 @@
 		}
 		return
 	}
-	for number, part := range l.split(b) {
+	for number, part := range l.Split(b) {
 		switch {
 		case part == nil:
 		case number == l.number:
@@ -110,8 +110,9 @@
 	}
 }
 
-// split divides a batch by the lanes that hold the gates.
-func (l *Lane) split(b *lagoon.LegBatch) []*lagoon.LegBatch {
+// Split divides a batch by the lanes that hold the gates of its servers; a lane
+// without legs has a nil part. It is safe on any goroutine.
+func (l *Lane) Split(b *lagoon.LegBatch) []*lagoon.LegBatch {
 	parts := make([]*lagoon.LegBatch, len(l.siblings))
 	if len(parts) == 1 {
 		parts[0] = b
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -336,21 +336,7 @@
 
 // receiveLegs hands each leg to the lane that holds its server's gate.
 func (n *Node) receiveLegs(ctx context.Context, m *lagoon.LegBatch) {
-	if len(n.boxes) == 1 {
-		n.post(ctx, 0, m)
-		return
-	}
-	parts := make([]*lagoon.LegBatch, len(n.boxes))
-	for _, leg := range m.Legs() {
-		i := n.lanes[0].LaneOf(leg.Server())
-		if parts[i] == nil {
-			c := *m
-			c.SetLegs(nil)
-			parts[i] = &c
-		}
-		parts[i].SetLegs(append(parts[i].Legs(), leg))
-	}
-	for i, part := range parts {
+	for i, part := range n.lanes[0].Split(m) {
 		if part != nil {
 			n.post(ctx, i, part)
 		}
