Judge a server's slowness against its group

Each server took three times its own former time, so owners took it for cold, held it at one request for good, and ejected replicas as outliers one after the other. Ruled out: the bound on queries, which only followed the refusals. Change: an answer is slow only against the longer of the server's own usual time and that of the fastest other server of its group; the usual time drifts towards a lasting change. Unit tests of the traffic systems: outcomes, limits, lease.

--- a/internal/ctrl/publsh/publsh.go
+++ b/internal/ctrl/publsh/publsh.go
@@ -208,6 +208,12 @@
 		g := groupOf(spec.Group())
 		groups[g] = append(groups[g], v.Index()[spec.Name()])
 	}
+	servers := v.Servers()
+	for _, group := range groups {
+		for _, pos := range group {
+			servers[pos].SetGroup(group)
+		}
+	}
 	shards := make([]uint32, len(svc.Shards()))
 	of := make([]int, len(svc.Shards()))
 	for i, shard := range svc.Shards() {
--- a/internal/srvvw/accessors_gen.go
+++ b/internal/srvvw/accessors_gen.go
@@ -142,3 +142,9 @@
 
 // SetOwnerLive sets whether its owner was heard lately.
 func (v *Row) SetOwnerLive(x bool) { v.ownerLive = x }
+
+// Group returns the positions in the view of the servers of its group, itself included.
+func (v *Row) Group() []int { return v.group }
+
+// SetGroup sets the positions in the view of the servers of its group, itself included.
+func (v *Row) SetGroup(x []int) { v.group = x }
--- a/internal/srvvw/srvvw.go
+++ b/internal/srvvw/srvvw.go
@@ -42,6 +42,7 @@
 	load      int               // requests queued or running at its owner
 	latency   time.Duration     // its recent mean latency
 	ownerLive bool              // whether its owner was heard lately
+	group     []int             // the positions in the view of the servers of its group, itself included
 }
 
 // Usable reports whether new work may go to the server through its owner.
--- a/internal/trfc/eject/eject.go
+++ b/internal/trfc/eject/eject.go
@@ -127,26 +127,31 @@
 
 // replaceable reports whether another server of the same group is usable.
 func replaceable(l *lane.Lane, name string) bool {
+	_, ok := Others(l, name)
+	return ok
+}
+
+// Others returns the shortest mean time among the other usable servers of a
+// server's group, or false when there is none.
+func Others(l *lane.Lane, name string) (time.Duration, bool) {
 	server, ok := l.View().Server(name)
 	if !ok {
-		return false
-	}
-	svc, ok := l.View().Service(server.Service())
-	if !ok {
-		return false
+		return 0, false
 	}
+	var shortest time.Duration
+	found := false
 	servers := l.View().Servers()
-	for _, group := range svc.Groups() {
-		mine, other := false, false
-		for _, pos := range group {
-			mine = mine || servers[pos].Name() == name
-			other = other || (servers[pos].Name() != name && servers[pos].Usable())
+	for _, pos := range server.Group() {
+		other := &servers[pos]
+		if other.Name() == name || !other.Usable() {
+			continue
 		}
-		if mine {
-			return other
+		if !found || other.Latency() < shortest {
+			shortest = other.Latency()
 		}
+		found = true
 	}
-	return false
+	return shortest, found
 }
 
 func hold(l *lane.Lane, name string, g *gates.Row, now time.Duration, why string) {
--- a/internal/trfc/settle/settle.go
+++ b/internal/trfc/settle/settle.go
@@ -26,6 +26,7 @@
 	hintFactor   = 2  // the same, when the server says that it is cold
 	slowInRow    = 3  // slow answers in a row that count as cold
 	warmAnswers  = 16 // answers before the warm latency is trusted
+	driftShare   = 50 // slow answers until most of a lasting change counts as usual
 	latencyShare = 8  // weight of the past in the mean latency, plus one
 )
 
@@ -69,7 +70,8 @@
 		l.Touch(j.Gate())
 	}
 	s.observe(l, j, g)
-	switch slow := g.Warm() > 0 && j.Took() > coldFactor*g.Warm(); {
+	usual := usualTime(l, l.Gates().KeyOf(j.Gate()), g)
+	switch slow := usual > 0 && j.Took() > coldFactor*usual; {
 	case slow && (status == lagoon.StatusOK || j.Withdrawn()):
 		eject.Overdue(l, l.Gates().KeyOf(j.Gate()), g, now)
 	case status == lagoon.StatusOK:
@@ -94,7 +96,7 @@
 	if !ok {
 		return
 	}
-	sample := s.sampleOf(j, g)
+	sample := s.sampleOf(j, g, usualTime(l, name, g))
 	before := g.Ramp()
 	after := l.Ramper().Observe(before, sample, server.Slots())
 	g.SetRamp(after)
@@ -121,7 +123,7 @@
 	return "it answered in the usual time with the whole limit in use"
 }
 
-func (s System) sampleOf(j *jobs.Row, g *gates.Row) lagoon.Sample {
+func (s System) sampleOf(j *jobs.Row, g *gates.Row, usual time.Duration) lagoon.Sample {
 	reply := j.Reply()
 	report := reply.Report()
 	if report.Start() != 0 && g.Start() != 0 && report.Start() != g.Start() {
@@ -131,22 +133,35 @@
 	case lagoon.StatusRefused:
 		return lagoon.SampleCold
 	case lagoon.StatusOK:
-		return s.answered(j, g, report.Cold())
+		return s.answered(j, g, usual, report.Cold())
 	}
 	return lagoon.SampleOK
 }
 
+// usualTime returns the time that an answer of the server should take: its own
+// while it is warm, or that of the fastest other server of its group, whichever
+// is longer. When all of a group are slow, the requests are, and no server of it
+// is cold or an outlier for that.
+func usualTime(l *lane.Lane, name string, g *gates.Row) time.Duration {
+	if g.Warm() == 0 {
+		return 0
+	}
+	others, _ := eject.Others(l, name)
+	return max(g.Warm(), others)
+}
+
 // answered judges an answer by its time. A slow one is cold only if several
 // come in a row, or if the server says so as well: one straggler is no sign.
-func (System) answered(j *jobs.Row, g *gates.Row, hint bool) lagoon.Sample {
+func (System) answered(j *jobs.Row, g *gates.Row, usual time.Duration, hint bool) lagoon.Sample {
 	took := j.Took()
 	g.SetAnswers(g.Answers() + 1)
 	g.SetLatency(mean(g.Latency(), took))
-	trusted := g.Answers() > warmAnswers && g.Warm() > 0
-	if trusted && hint && took > hintFactor*g.Warm() {
+	trusted := g.Answers() > warmAnswers && usual > 0
+	if trusted && hint && took > hintFactor*usual {
 		return lagoon.SampleCold
 	}
-	if trusted && took > coldFactor*g.Warm() {
+	if trusted && took > coldFactor*usual {
+		g.SetWarm(g.Warm() + (took-g.Warm())/driftShare)
 		g.SetSlow(g.Slow() + 1)
 		if g.Slow() >= slowInRow {
 			g.SetSlow(0)
