--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -3,8 +3,8 @@
 //
 // # Usage
 //
-//	report, err := bench.Run(ctx, bench.Options{Scenario: "steady", Seed: 1})
-//	if len(report.Broken) > 0 { ... }
+//	report, err := bench.Run(ctx, options)   // a bopts.Options
+//	if len(report.Broken()) > 0 { ... }
 //
 // The bounds come from the promises and the target, never from a measurement.
 // Every scenario is bounded in time and load and stops by itself.
@@ -13,15 +13,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sort"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/benchr"
+	"github.com/lagoontrail/lagoon/internal/bopts"
 	"github.com/lagoontrail/lagoon/internal/deploy"
 	"github.com/lagoontrail/lagoon/internal/lane"
 	"github.com/lagoontrail/lagoon/internal/loadg"
@@ -46,21 +45,9 @@
 	warmUp     = 2 * time.Second // of load, before counting and before the script
 )
 
-// Options choose what to run.
-type Options struct {
-	Scenario   string         // the scenario's name
-	Deployment string         // the deployment's name; empty takes the scenario's
-	Policy     string         // "now", "first" or "baseline"
-	Seed       uint64         // the seed of the load
-	Nodes      int            // the number of nodes; 0 takes the deployment's
-	Seconds    int            // the length of the load in seconds; 0 takes the scenario's
-	Log        *logrus.Logger // where decisions are logged; nil logs none
-	Story      io.Writer      // where the tour tells what happens; nil tells nothing
-}
-
 // run is one scenario under way.
 type run struct {
-	o      Options
+	o      bopts.Options
 	s      scenario
 	rig    *rig.Rig
 	load   *loadg.Generator
@@ -81,27 +68,27 @@
 
 // Run runs one scenario and returns its report. An error means that it could
 // not be run; broken promises are in the report.
-func Run(ctx context.Context, o Options) (*benchr.Report, error) {
-	s, ok := scenarios()[o.Scenario]
+func Run(ctx context.Context, o bopts.Options) (*benchr.Report, error) {
+	s, ok := scenarios()[o.Scenario()]
 	if !ok {
-		return nil, errors.Errorf("scenario %q is unknown; allowed are %v", o.Scenario, Names())
+		return nil, errors.Errorf("scenario %q is unknown; allowed are %v", o.Scenario(), Names())
 	}
-	if o.Deployment == "" {
-		o.Deployment = s.deployment
+	if o.Deployment() == "" {
+		o.SetDeployment(s.deployment)
 	}
-	d, err := deploy.Named(o.Deployment)
+	d, err := deploy.Named(o.Deployment())
 	if err != nil {
 		return nil, err
 	}
-	prepare, err := policy(o.Policy)
+	prepare, err := policy(o.Policy())
 	if err != nil {
 		return nil, err
 	}
-	r := &run{o: o, s: s, report: benchr.New(o.Scenario, o.Policy, o.Seed), length: s.length}
-	if o.Seconds > 0 {
-		r.length = time.Duration(o.Seconds) * time.Second
+	r := &run{o: o, s: s, report: benchr.New(o.Scenario(), o.Policy(), o.Seed()), length: s.length}
+	if o.Seconds() > 0 {
+		r.length = time.Duration(o.Seconds()) * time.Second
 	}
-	rg, stop, err := rig.Start(d, o.Nodes, ttlSeconds, o.Log, prepare)
+	rg, stop, err := rig.Start(d, o.Nodes(), ttlSeconds, o.Log(), prepare)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +159,7 @@
 
 // play runs the load and the script.
 func (r *run) play(ctx context.Context) {
-	r.load = loadg.New(r.rig.Addrs(), r.rig.Deployment().Zones(), r.o.Seed)
+	r.load = loadg.New(r.rig.Addrs(), r.rig.Deployment().Zones(), r.o.Seed())
 	defer r.load.Close()
 	r.load.SetWarmUp(warmUp)
 	r.s.load(r)
--- a/internal/bench/tour.go
+++ b/internal/bench/tour.go
@@ -24,8 +24,8 @@
 
 // say tells the reader of the demo what happens.
 func (r *run) say(format string, args ...any) {
-	if r.o.Story != nil {
-		fmt.Fprintf(r.o.Story, "%6.1fs  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	if r.o.Story() != nil {
+		fmt.Fprintf(r.o.Story(), "%6.1fs  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 	}
 }
 
@@ -83,22 +83,22 @@
 // server, with the reasons.
 func (r *run) tell() {
 	n := r.rig.Node(0)
-	if r.o.Story == nil || n == nil {
+	if r.o.Story() == nil || n == nil {
 		return
 	}
-	fmt.Fprintf(r.o.Story, "\nactions of %s, with their reasons:\n", r.rig.NodeName(0))
+	fmt.Fprintf(r.o.Story(), "\nactions of %s, with their reasons:\n", r.rig.NodeName(0))
 	n.Control().Do(func(w *world.World) {
 		for i := range w.Acts().Len() {
 			a := w.Acts().At(i)
 			if toldInTour[a.Kind()] {
-				fmt.Fprintf(r.o.Story, "  %s  %-20s %-18s %s\n", a.At().Format("15:04:05.000"), a.Kind(), a.Subject(), a.Reason())
+				fmt.Fprintf(r.o.Story(), "  %s  %-20s %-18s %s\n", a.At().Format("15:04:05.000"), a.Kind(), a.Subject(), a.Reason())
 			}
 		}
 	})
 	for _, d := range n.Journal().Find(func(d lagoon.Decision) bool { return toldInTour[d.Kind()] && d.Kind() == "server_limit_changed" }) {
-		fmt.Fprintf(r.o.Story, "  %s  %-20s %-18s %s\n", d.At().Format("15:04:05.000"), d.Kind(), d.Subject(), d.Reason())
+		fmt.Fprintf(r.o.Story(), "  %s  %-20s %-18s %s\n", d.At().Format("15:04:05.000"), d.Kind(), d.Subject(), d.Reason())
 	}
-	fmt.Fprintln(r.o.Story)
+	fmt.Fprintln(r.o.Story())
 }
 
 var toldInTour = map[string]bool{
--- a/internal/rig/change.go
+++ b/internal/chgout/chgout.go
@@ -1,4 +1,11 @@
-package rig
+// Package chgout makes an operator's change through a node's API and holds what
+// came of it.
+//
+// # Usage
+//
+//	o, err := chgout.Send(ctx, addr, "zone", "cph-1", version, body)
+//	if o.Accepted() && o.InForce() { ... }
+package chgout
 
 import (
 	"bytes"
@@ -46,7 +53,9 @@
 // Problem returns why the change was not accepted.
 func (o Outcome) Problem() string { return o.form.Error }
 
-func change(ctx context.Context, addr, kind, name string, ifVersion uint64, body any) (Outcome, error) {
+// Send declares a resource through the node at addr. An error means that no
+// reply came.
+func Send(ctx context.Context, addr, kind, name string, ifVersion uint64, body any) (Outcome, error) {
 	var o Outcome
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lagoontrail/lagoon/internal/bench"
+	"github.com/lagoontrail/lagoon/internal/bopts"
 	"github.com/lagoontrail/lagoon/internal/slope"
 )
 
@@ -20,7 +21,9 @@
 		Use: "demo", Short: "Run a whole deployment in one process, with failures, and report", Example: "  lagoontrail demo", Args: cobra.NoArgs,
 		Long: "Runs the platform's stand-in, stand-in servers in three zones and several nodes over loopback. Takes a zone out and back, restarts a server cold and stops a node gracefully, under load. The exit code is 1 when a promise was broken.",
 		RunE: func(c *cobra.Command, _ []string) error {
-			o := bench.Options{Scenario: "tour", Seed: seed, Story: c.OutOrStdout()}
+			var o bopts.Options
+			o.SetSeed(seed)
+			o.SetStory(c.OutOrStdout())
 			return runBench(c, o, []string{"tour"}, "table")
 		},
 	}
@@ -29,8 +32,9 @@
 }
 
 func benchCommand() *cobra.Command {
-	var o bench.Options
-	var output, trace, out string
+	var output, trace, out, scenario, deployment, policy string
+	var seed uint64
+	var nodes, seconds int
 	c := &cobra.Command{
 		Use: "bench", Short: "Run a scenario of load and failures, and check the promises",
 		Long:    "Runs real nodes over loopback with stand-in servers. Scenarios: all, slope, " + strings.Join(bench.Names(), ", ") + ".",
@@ -41,23 +45,29 @@
 				return err
 			}
 			defer closeLog()
-			o.Log = log
-			if o.Scenario == "slope" {
+			if scenario == "slope" {
 				return runSlope(c, out)
 			}
-			names := []string{o.Scenario}
-			if o.Scenario == "all" {
+			var o bopts.Options
+			o.SetLog(log)
+			o.SetDeployment(deployment)
+			o.SetPolicy(policy)
+			o.SetSeed(seed)
+			o.SetNodes(nodes)
+			o.SetSeconds(seconds)
+			names := []string{scenario}
+			if scenario == "all" {
 				names = bench.Names()
 			}
 			return runBench(c, o, names, output)
 		},
 	}
-	c.Flags().StringVar(&o.Scenario, "scenario", "steady", "the scenario, or all")
-	c.Flags().StringVar(&o.Deployment, "deployment", "", "small, nordlys or chattahoochee; the scenario's own when left out")
-	c.Flags().StringVar(&o.Policy, "policy", "now", "now, first (the project's first policies) or baseline (plain fan-out)")
-	c.Flags().Uint64Var(&o.Seed, "seed", 1, "the seed of the load")
-	c.Flags().IntVar(&o.Nodes, "nodes", 0, "the number of nodes; the deployment's own when 0")
-	c.Flags().IntVar(&o.Seconds, "seconds", 0, "the length of the load in seconds; the scenario's own when 0")
+	c.Flags().StringVar(&scenario, "scenario", "steady", "the scenario, or all")
+	c.Flags().StringVar(&deployment, "deployment", "", "small, nordlys or chattahoochee; the scenario's own when left out")
+	c.Flags().StringVar(&policy, "policy", "now", "now, first (the project's first policies) or baseline (plain fan-out)")
+	c.Flags().Uint64Var(&seed, "seed", 1, "the seed of the load")
+	c.Flags().IntVar(&nodes, "nodes", 0, "the number of nodes; the deployment's own when 0")
+	c.Flags().IntVar(&seconds, "seconds", 0, "the length of the load in seconds; the scenario's own when 0")
 	c.Flags().StringVar(&out, "out", "", "a folder for the tables and plots of the scenario slope")
 	c.Flags().StringVar(&trace, "trace", "", "a file for the decisions, as JSON lines")
 	c.Flags().StringVarP(&output, "output", "o", "table", "how to print: json or table")
@@ -74,10 +84,10 @@
 	return err
 }
 
-func runBench(c *cobra.Command, o bench.Options, names []string, output string) error {
+func runBench(c *cobra.Command, o bopts.Options, names []string, output string) error {
 	broken := false
 	for _, name := range names {
-		o.Scenario = name
+		o.SetScenario(name)
 		report, err := bench.Run(c.Context(), o)
 		if err != nil {
 			return errors.Wrap(err, name)
--- a/internal/ctrl/accept/accept.go
+++ b/internal/ctrl/accept/accept.go
@@ -46,14 +46,11 @@
 	}
 }
 
-// Reply receives the outcome of a change, once. The error wraps
-// lagoon.ErrConflict after a lost race, with the current version in the
-// outcome, and lagoon.ErrUnavailable when the change may or may not have been
-// accepted.
-type Reply func(a lagoon.Accepted, err error)
-
-// Change accepts one change.
-func Change(w *world.World, c lagoon.Change, reply Reply) {
+// Change accepts one change. reply receives the outcome, once, on the control
+// goroutine. Its error wraps lagoon.ErrConflict after a lost race, with the
+// current version in the outcome, and lagoon.ErrUnavailable when the change may
+// or may not have been accepted.
+func Change(w *world.World, c lagoon.Change, reply func(a lagoon.Accepted, err error)) {
 	repo := w.Repo()
 	w.Spawn(writeLimit, func(ctx context.Context) func(*world.World) {
 		next, accepted, err := write(ctx, repo, c)
@@ -91,7 +88,7 @@
 }
 
 // spread adopts the accepted configuration and waits until it is in force.
-func spread(w *world.World, next lagoon.Config, accepted lagoon.Accepted, reply Reply) {
+func spread(w *world.World, next lagoon.Config, accepted lagoon.Accepted, reply func(a lagoon.Accepted, err error)) {
 	began := w.Clock().Now()
 	var majorityAt time.Duration
 	w.AdoptConfig(next, "an operator's change accepted here")
--- a/internal/ctrl/sim_test.go
+++ b/internal/ctrl/sim_test.go
@@ -45,7 +45,7 @@
 	name    string
 	w       *world.World
 	offset  time.Duration
-	tasks   []world.Task
+	tasks   []func(context.Context) func(*world.World)
 	paused  bool
 	cut     bool
 	noStore bool
@@ -129,7 +129,7 @@
 		w.SetSeeds(append(w.Seeds(), other.name))
 	}
 	w.SetSeeds(append(w.Seeds(), n.name))
-	w.SetRunner(func(_ time.Duration, t world.Task) { n.tasks = append(n.tasks, t) })
+	w.SetRunner(func(_ time.Duration, t func(context.Context) func(*world.World)) { n.tasks = append(n.tasks, t) })
 	w.SetSystems(ctrl.Systems())
 	n.w, n.tasks, n.paused, n.starved = w, nil, false, false
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -24,6 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/chgout"
 	"github.com/lagoontrail/lagoon/internal/deploy"
 	"github.com/lagoontrail/lagoon/internal/htplat"
 	"github.com/lagoontrail/lagoon/internal/netw"
@@ -320,8 +321,8 @@
 }
 
 // Change makes an operator's change through the API of node i.
-func (r *Rig) Change(ctx context.Context, i int, kind, name string, ifVersion uint64, body any) (Outcome, error) {
-	return change(ctx, r.addrs[i], kind, name, ifVersion, body)
+func (r *Rig) Change(ctx context.Context, i int, kind, name string, ifVersion uint64, body any) (chgout.Outcome, error) {
+	return chgout.Send(ctx, r.addrs[i], kind, name, ifVersion, body)
 }
 
 // ZoneVersion returns the version of a zone's declaration that node i knows.
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -115,7 +115,7 @@
 		}
 		ast.Inspect(s.file, func(n ast.Node) bool {
 			spec, ok := n.(*ast.TypeSpec)
-			if !ok || !spec.Name.IsExported() || spec.Name.Name == "Options" {
+			if !ok || !spec.Name.IsExported() {
 				return true
 			}
 			if st, ok := spec.Type.(*ast.StructType); ok {
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -34,6 +34,10 @@
 // simulated is how much time one run lets pass.
 const simulated = 10 * time.Second
 
+// repeats is the number of runs of which the least processor time counts, as
+// other programs on the machine only add to it.
+const repeats = 3
+
 // Point is one measurement.
 type Point struct {
 	peers, servers int
@@ -128,7 +132,7 @@
 	w.SetLink(n)
 	w.SetCurrent(&atomic.Pointer[view.View]{})
 	w.Current().Store(&view.View{})
-	w.SetRunner(func(time.Duration, world.Task) {})
+	w.SetRunner(func(time.Duration, func(context.Context) func(*world.World)) {})
 	w.SetLoaded(true)
 	w.SetSystems(ctrl.Systems())
 	w.AdoptConfig(configOf(servers, 1), "the measurement")
@@ -166,9 +170,13 @@
 	p := Point{peers: peers, servers: servers}
 	run(w, n, peers, simulated) // to a steady state
 	n.bytes, n.sent = 0, 0
-	p.cpu = 100 * run(w, n, peers, simulated).Seconds() / simulated.Seconds()
-	p.bytes = float64(n.bytes) / simulated.Seconds()
-	p.messages = float64(n.sent) / simulated.Seconds()
+	least := simulated
+	for range repeats {
+		least = min(least, run(w, n, peers, simulated))
+	}
+	p.cpu = 100 * least.Seconds() / simulated.Seconds()
+	p.bytes = float64(n.bytes) / simulated.Seconds() / repeats
+	p.messages = float64(n.sent) / simulated.Seconds() / repeats
 	p.memory = heap() - before
 	n.bytes = 0
 	began := time.Now()
--- a/internal/world/accessors_gen.go
+++ b/internal/world/accessors_gen.go
@@ -2,6 +2,7 @@
 
 package world
 
+import "context"
 import "sync/atomic"
 import "time"
 import "github.com/lagoontrail/lagoon"
@@ -189,10 +190,14 @@
 func (v *World) SetPlaceVersion(x uint64) { v.placeVersion = x }
 
 // Runner returns runs a task; nil runs it on a goroutine of its own.
-func (v *World) Runner() func(limit time.Duration, task Task) { return v.runner }
+func (v *World) Runner() func(limit time.Duration, task func(context.Context) func(*World)) {
+	return v.runner
+}
 
 // SetRunner sets runs a task; nil runs it on a goroutine of its own.
-func (v *World) SetRunner(x func(limit time.Duration, task Task)) { v.runner = x }
+func (v *World) SetRunner(x func(limit time.Duration, task func(context.Context) func(*World))) {
+	v.runner = x
+}
 
 // BeatAt returns when the last regular heartbeat was sent.
 func (v *World) BeatAt() time.Duration { return v.beatAt }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -45,40 +45,40 @@
 
 // World owns the control tables of one node.
 type World struct {
-	self          lagoon.Member                        // this node
-	clock         lagoon.Clock                         // the clock
-	repo          lagoon.Repository                    // the platform's objects
-	upstream      lagoon.Upstream                      // asks servers for reports
-	link          lagoon.PeerLink                      // sends messages to other nodes
-	journal       lagoon.Journal                       // keeps decisions
-	lanes         []*mbox.Box                          // the mailboxes of the traffic lanes
-	current       *atomic.Pointer[view.View]           // where views are published
-	systems       []lagoon.System[*World]              // the systems, in the order they run
-	seeds         []string                             // addresses of nodes to try first
-	config        lagoon.Config                        // the configuration in use
-	configAt      time.Duration                        // when the configuration was adopted
-	placement     lagoon.Placement                     // the placement in use
-	placedAt      time.Duration                        // when the placement was adopted
-	settledAt     time.Duration                        // when a majority of the previous members was seen to know the placement; 0 before
-	lease         time.Duration                        // the time until which this node may act
-	stopping      time.Duration                        // when the node began to stop; 0 while it does not
-	refusing      bool                                 // whether the node refuses new queries
-	loaded        bool                                 // whether the platform or a peer told the configuration and the placement
-	change        uint64                               // the counter of status changes
-	touched       uint64                               // the counter of changes that the next view must show
-	differed      time.Duration                        // since when the wanted placement differs; 0 when it does not
-	placing       bool                                 // whether a placement is being written
-	listing       bool                                 // whether the instance list is being read
-	listedAt      time.Duration                        // when the instance list was last read
-	retryAt       time.Duration                        // when the platform may be called again after a failure
-	configWatched bool                                 // whether a call that follows the configuration is under way
-	configVersion uint64                               // the object version of the configuration last read; 0 for none
-	placeWatched  bool                                 // whether a call that follows the placement is under way
-	placeVersion  uint64                               // the object version of the placement last read; 0 for none
-	runner        func(limit time.Duration, task Task) // runs a task; nil runs it on a goroutine of its own
-	beatAt        time.Duration                        // when the last regular heartbeat was sent
-	beatSoon      bool                                 // whether to send a heartbeat in this tick
-	started       time.Duration                        // when the node started
+	self          lagoon.Member                                                      // this node
+	clock         lagoon.Clock                                                       // the clock
+	repo          lagoon.Repository                                                  // the platform's objects
+	upstream      lagoon.Upstream                                                    // asks servers for reports
+	link          lagoon.PeerLink                                                    // sends messages to other nodes
+	journal       lagoon.Journal                                                     // keeps decisions
+	lanes         []*mbox.Box                                                        // the mailboxes of the traffic lanes
+	current       *atomic.Pointer[view.View]                                         // where views are published
+	systems       []lagoon.System[*World]                                            // the systems, in the order they run
+	seeds         []string                                                           // addresses of nodes to try first
+	config        lagoon.Config                                                      // the configuration in use
+	configAt      time.Duration                                                      // when the configuration was adopted
+	placement     lagoon.Placement                                                   // the placement in use
+	placedAt      time.Duration                                                      // when the placement was adopted
+	settledAt     time.Duration                                                      // when a majority of the previous members was seen to know the placement; 0 before
+	lease         time.Duration                                                      // the time until which this node may act
+	stopping      time.Duration                                                      // when the node began to stop; 0 while it does not
+	refusing      bool                                                               // whether the node refuses new queries
+	loaded        bool                                                               // whether the platform or a peer told the configuration and the placement
+	change        uint64                                                             // the counter of status changes
+	touched       uint64                                                             // the counter of changes that the next view must show
+	differed      time.Duration                                                      // since when the wanted placement differs; 0 when it does not
+	placing       bool                                                               // whether a placement is being written
+	listing       bool                                                               // whether the instance list is being read
+	listedAt      time.Duration                                                      // when the instance list was last read
+	retryAt       time.Duration                                                      // when the platform may be called again after a failure
+	configWatched bool                                                               // whether a call that follows the configuration is under way
+	configVersion uint64                                                             // the object version of the configuration last read; 0 for none
+	placeWatched  bool                                                               // whether a call that follows the placement is under way
+	placeVersion  uint64                                                             // the object version of the placement last read; 0 for none
+	runner        func(limit time.Duration, task func(context.Context) func(*World)) // runs a task; nil runs it on a goroutine of its own
+	beatAt        time.Duration                                                      // when the last regular heartbeat was sent
+	beatSoon      bool                                                               // whether to send a heartbeat in this tick
+	started       time.Duration                                                      // when the node started
 
 	box     *mbox.Box
 	zones   rows.Table[zones.Row]
@@ -87,7 +87,7 @@
 	nodes   rows.Table[nodes.Row]
 	claims  rows.Table[claims.Row]
 	acts    rows.Table[acts.Row]
-	pending []Waiter
+	pending []func(now time.Duration) bool
 	inbox   []any
 	told    [][]lagoon.ServerStatus
 	asks    []*lagoon.ClaimAsk
@@ -97,13 +97,6 @@
 	tasks   sync.WaitGroup
 }
 
-// Task is work that waits, done outside the control goroutine. It returns what
-// is to be applied to the tables, or nil.
-type Task func(ctx context.Context) func(*World)
-
-// Waiter is called each tick until it returns true.
-type Waiter func(now time.Duration) bool
-
 // New returns a world that receives through box. The clean-up function cancels
 // the tasks that still run and waits for them; call it after Run has returned.
 func New(box *mbox.Box) (*World, func()) {
@@ -145,11 +138,11 @@
 // Touch says that the next view must show a change.
 func (w *World) Touch() { w.touched++ }
 
-// Wait adds a waiter.
-func (w *World) Wait(f Waiter) { w.pending = append(w.pending, f) }
+// Wait adds a waiter, which is called each tick until it returns true.
+func (w *World) Wait(f func(now time.Duration) bool) { w.pending = append(w.pending, f) }
 
 // Waiters returns the waiters and takes them out.
-func (w *World) Waiters() []Waiter {
+func (w *World) Waiters() []func(now time.Duration) bool {
 	p := w.pending
 	w.pending = nil
 	return p
@@ -194,7 +187,7 @@
 
 // Spawn runs a task on another goroutine and applies the function that it
 // returns, if any, on the control goroutine.
-func (w *World) Spawn(limit time.Duration, task Task) {
+func (w *World) Spawn(limit time.Duration, task func(ctx context.Context) func(*World)) {
 	if w.runner != nil {
 		w.runner(limit, task)
 		return
