--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -13,6 +13,12 @@
 	r.load.SetReads(r.rig.Deployment().Reads()[0], 2*readRate)
 }
 
+// rushRate is a read load, in queries a second, of which a third of a group is
+// far more than a cold server bears.
+const rushRate = 400.0
+
+func rush(r *run) { r.load.SetReads(r.rig.Deployment().Reads()[0], rushRate) }
+
 // server returns the server of a group and replica of the first read service.
 func (r *run) server(group, replica int) *stdsrv.Server {
 	return r.rig.Servers()[serverName(r.rig.Deployment().Reads()[0], group, replica)]
--- a/internal/bench/scenarios.go
+++ b/internal/bench/scenarios.go
@@ -52,6 +52,7 @@
 		"steady":             {deployment: "nordlys", length: 10 * time.Second, load: ordinary, cutOff: true, bounds: tail},
 		"straggler":          {deployment: "nordlys", length: 10 * time.Second, load: readsOnly, script: straggler, cutOff: true, bounds: map[string]float64{"p99 ms": p99Bound, "extra load %": extraBound}},
 		"cold_start":         {deployment: "nordlys", length: 12 * time.Second, load: ordinary, script: coldStart, cutOff: true},
+		"cold_rush":          {deployment: "small", length: 12 * time.Second, load: rush, script: coldStart, cutOff: true},
 		"relapse":            {deployment: "nordlys", length: 12 * time.Second, load: ordinary, script: relapse, cutOff: true},
 		"zone_out_and_back":  {deployment: "nordlys", length: 14 * time.Second, load: ordinary, script: zoneOutAndBack, cutOff: true, bounds: zone},
 		"repartition":        {deployment: "small", length: 10 * time.Second, load: ordinary, script: repartition, cutOff: true, bounds: force},
--- /dev/null
+++ b/internal/journl/journl_test.go
@@ -0,0 +1,67 @@
+package journl_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/journl"
+)
+
+func decision(query string) lagoon.Decision {
+	var d lagoon.Decision
+	d.SetAt(time.Now())
+	d.SetNode("entry-1")
+	d.SetKind("query_routed")
+	d.SetSubject("archive-desk")
+	d.SetQuery(query)
+	d.SetReason("snapshot 1.1, servers 0:archive-desk-00a@entry-3 1:archive-desk-01b@entry-7: least expected wait among usable replicas")
+	return d
+}
+
+func TestNoteNeverBlocks(t *testing.T) {
+	j := journl.New(nil) // nobody serves it
+	for range 10000 {
+		j.Note(decision("q"))
+	}
+	if got, want := j.Dropped() > 0, true; got != want {
+		t.Errorf("decisions dropped: got %v, want %v", got, want)
+	}
+}
+
+func TestFindKeepsOrder(t *testing.T) {
+	j := journl.New(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, q := range []string{"a", "b", "a"} {
+		j.Note(decision(q))
+	}
+	cancel()
+	_ = j.Serve(ctx) // writes what is queued
+	found := j.Find(func(d lagoon.Decision) bool { return d.Query() == "a" })
+	if got, want := len(found), 2; got != want {
+		t.Errorf("decisions found: got %d, want %d", got, want)
+	}
+}
+
+// BenchmarkLine measures one decision from Note to its written log line.
+func BenchmarkLine(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	j := journl.New(log)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	d := decision("q")
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		j.Note(d)
+		if n%4096 == 0 {
+			_ = j.Serve(ctx) // writes what is queued, then returns
+		}
+	}
+	_ = j.Serve(ctx)
+}
