--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -108,6 +108,8 @@
 	switch name {
 	case "now", "":
 		return nil, nil
+	case eject.ByTimer, eject.ByEscalation:
+		return each(func(l *lane.Lane) { l.SetEjection(name) }), nil
 	case "first":
 		return each(func(l *lane.Lane) {
 			l.SetPicker(first{})
@@ -121,7 +123,7 @@
 			l.SetHedger(never{})
 		}), nil
 	}
-	return nil, errors.Errorf("policy %q is unknown; allowed are now, first and baseline", name)
+	return nil, errors.Errorf("policy %q is unknown; allowed are now, first, baseline, timer and escalating", name)
 }
 
 func each(change func(*lane.Lane)) func(*node.Node) {
--- a/internal/bopts/accessors_gen.go
+++ b/internal/bopts/accessors_gen.go
@@ -17,10 +17,10 @@
 // SetDeployment sets the deployment's name.
 func (v *Options) SetDeployment(x string) { v.deployment = x }
 
-// Policy returns "now", "first" or "baseline".
+// Policy returns "now", "first", "baseline", "timer" or "escalating".
 func (v Options) Policy() string { return v.policy }
 
-// SetPolicy sets "now", "first" or "baseline".
+// SetPolicy sets "now", "first", "baseline", "timer" or "escalating".
 func (v *Options) SetPolicy(x string) { v.policy = x }
 
 // Seed returns the seed of the load.
--- a/internal/bopts/bopts.go
+++ b/internal/bopts/bopts.go
@@ -21,7 +21,7 @@
 type Options struct {
 	scenario   string         // the scenario's name
 	deployment string         // the deployment's name
-	policy     string         // "now", "first" or "baseline"
+	policy     string         // "now", "first", "baseline", "timer" or "escalating"
 	seed       uint64         // the seed of the load
 	nodes      int            // the number of nodes
 	seconds    int            // the length of the load, in seconds
--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -64,7 +64,7 @@
 	}
 	c.Flags().StringVar(&scenario, "scenario", "steady", "the scenario, or all")
 	c.Flags().StringVar(&deployment, "deployment", "", "small, nordlys or chattahoochee; the scenario's own when left out")
-	c.Flags().StringVar(&policy, "policy", "now", "now, first (the project's first policies) or baseline (plain fan-out)")
+	c.Flags().StringVar(&policy, "policy", "now", "now, first (the project's first policies), baseline (plain fan-out), timer or escalating (other ways for ejected servers to return)")
 	c.Flags().Uint64Var(&seed, "seed", 1, "the seed of the load")
 	c.Flags().IntVar(&nodes, "nodes", 0, "the number of nodes; the deployment's own when 0")
 	c.Flags().IntVar(&seconds, "seconds", 0, "the length of the load in seconds; the scenario's own when 0")
