Drop columns that nothing reads, and say the cancel grace once

Cause: a last read found three columns that nothing reads, one constant in two packages, and one set-up of a lane in two test files. Change: the columns are gone; gates.CancelGrace serves pump and settle; the lane benchmark stands beside the tests of the traffic systems and shares their view.

--- a/internal/gates/gates.go
+++ b/internal/gates/gates.go
@@ -16,6 +16,11 @@
 	"github.com/lagoontrail/lagoon"
 )
 
+// CancelGrace is how long a server may take to stop after its request was
+// cancelled or its deadline came. A slot stays taken for that long, and a request
+// is given up that much before its lease or deadline ends.
+const CancelGrace = 5 * time.Millisecond
+
 //go:generate go run ../accgen -dir . -rows
 
 // Row is one gate, keyed by the server's name.
--- a/internal/jobs/accessors_gen.go
+++ b/internal/jobs/accessors_gen.go
@@ -47,12 +47,6 @@
 // SetDeadline sets when the query's caller stops waiting.
 func (v *Row) SetDeadline(x time.Duration) { v.deadline = x }
 
-// Queued returns when the job arrived.
-func (v *Row) Queued() time.Duration { return v.queued }
-
-// SetQueued sets when the job arrived.
-func (v *Row) SetQueued(x time.Duration) { v.queued = x }
-
 // Started returns when the request was sent; 0 while queued.
 func (v *Row) Started() time.Duration { return v.started }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -24,7 +24,6 @@
 	leg        uint64        // the leg's id at that node
 	call       lagoon.Call   // the request to the server
 	deadline   time.Duration // when the query's caller stops waiting
-	queued     time.Duration // when the job arrived
 	started    time.Duration // when the request was sent; 0 while queued
 	full       bool          // whether the gate's limit was in use when it was sent
 	idempotent bool          // whether the request may run twice
--- a/internal/lane/accessors_gen.go
+++ b/internal/lane/accessors_gen.go
@@ -90,9 +90,3 @@
 
 // SetFanOut sets whether all limits and policies are off, for the baseline.
 func (v *Lane) SetFanOut(x bool) { v.fanOut = x }
-
-// Gauge returns queries running at the node.
-func (v *Lane) Gauge() *atomic.Int64 { return v.gauge }
-
-// SetGauge sets queries running at the node.
-func (v *Lane) SetGauge(x *atomic.Int64) { v.gauge = x }
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -61,7 +61,6 @@
 	systems  []lagoon.System[*Lane]     // the systems, in the order they run
 	ejection string                     // how an ejected server returns: "probe", "timer" or "escalating"
 	fanOut   bool                       // whether all limits and policies are off, for the baseline
-	gauge    *atomic.Int64              // queries running at the node
 
 	box     *mbox.Box
 	view    *view.View
--- a/internal/qrys/accessors_gen.go
+++ b/internal/qrys/accessors_gen.go
@@ -17,12 +17,6 @@
 // SetReply sets where the answer goes; has room for it.
 func (v *Row) SetReply(x chan<- lagoon.Answer) { v.reply = x }
 
-// Traced returns whether each decision is logged.
-func (v *Row) Traced() bool { return v.traced }
-
-// SetTraced sets whether each decision is logged.
-func (v *Row) SetTraced(x bool) { v.traced = x }
-
 // Started returns when the query arrived.
 func (v *Row) Started() time.Duration { return v.started }
 
--- a/internal/qrys/qrys.go
+++ b/internal/qrys/qrys.go
@@ -28,7 +28,6 @@
 type Row struct {
 	query    lagoon.Query         // the request
 	reply    chan<- lagoon.Answer // where the answer goes; has room for it
-	traced   bool                 // whether each decision is logged
 	started  time.Duration        // when the query arrived
 	deadline time.Duration        // when the caller stops waiting
 	state    uint8                // the state, one of this package's constants
--- a/internal/lane/lane_bench_test.go
+++ b/internal/trfc/bench_test.go
@@ -1,4 +1,4 @@
-package lane_test
+package trfc_test
 
 import (
 	"context"
@@ -12,8 +12,6 @@
 	"github.com/lagoontrail/lagoon/internal/lane"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/qrys"
-	"github.com/lagoontrail/lagoon/internal/srvvw"
-	"github.com/lagoontrail/lagoon/internal/svcvw"
 	"github.com/lagoontrail/lagoon/internal/trfc"
 	"github.com/lagoontrail/lagoon/internal/view"
 	"github.com/lagoontrail/lagoon/pkg/hedge"
@@ -33,50 +31,6 @@
 
 func (instant) Probe(context.Context, string) (lagoon.Report, error) { return lagoon.Report{}, nil }
 
-type noLink struct{}
-
-func (noLink) Send(string, lagoon.Message) bool { return false }
-
-// viewOf returns a view with one service of a number of groups of three servers,
-// all owned by this node.
-func viewOf(groups int) *view.View {
-	v := &view.View{}
-	v.SetSelf("n")
-	v.SetStart(1)
-	v.SetLeaseUntil(time.Hour)
-	var servers []srvvw.Row
-	var svc svcvw.Row
-	svc.SetName("s")
-	svc.SetMapVersion(1)
-	index := map[string]int{}
-	for g := range groups {
-		var group []int
-		for r := range 3 {
-			var s srvvw.Row
-			s.SetName(fmt.Sprintf("s-%d-%d", g, r))
-			s.SetService("s")
-			s.SetOwner("n")
-			s.SetOwnerLive(true)
-			s.SetMine(true)
-			s.SetActing(true)
-			s.SetUp(true)
-			s.SetSlots(64)
-			s.SetSnapshots([]lagoon.Snapshot{lagoon.NewSnapshot(1, 1)})
-			index[s.Name()] = len(servers)
-			group = append(group, len(servers))
-			servers = append(servers, s)
-		}
-		svc.SetGroups(append(svc.Groups(), group))
-		svc.SetGroupOf(append(svc.GroupOf(), g))
-		svc.SetShards(append(svc.Shards(), uint32(g)))
-	}
-	v.SetServers(servers)
-	v.SetIndex(index)
-	v.SetServices([]svcvw.Row{svc})
-	v.SetSvcIndex(map[string]int{"s": 0})
-	return v
-}
-
 // BenchmarkLane measures the lane alone: planning, owning and gathering, with
 // servers that answer at once and no network.
 func BenchmarkLane(b *testing.B) {
@@ -85,7 +39,7 @@
 			box := mbox.New(4096)
 			l, stop := lane.New(box)
 			var current atomic.Pointer[view.View]
-			current.Store(viewOf(shards))
+			current.Store(viewOf(shards, 64))
 			l.SetSiblings([]*mbox.Box{box})
 			l.SetControl(mbox.New(64))
 			l.SetClock(clocks.New())
@@ -104,7 +58,7 @@
 			for b.Loop() {
 				reply := make(chan lagoon.Answer, 1)
 				var q lagoon.Query
-				q.SetService("s")
+				q.SetService("desk")
 				q.SetIdempotent(true)
 				q.SetTimeout(10 * time.Second)
 				row := &qrys.Row{}
--- a/internal/trfc/offer/offer.go
+++ b/internal/trfc/offer/offer.go
@@ -124,7 +124,6 @@
 	j.SetLane(b.Lane())
 	j.SetLeg(leg.ID())
 	j.SetDeadline(now + b.Timeout())
-	j.SetQueued(now)
 	j.SetIdempotent(b.Idempotent())
 	j.SetHedge(leg.Hedge())
 	j.SetWeight(b.Weight())
--- a/internal/trfc/pump/pump.go
+++ b/internal/trfc/pump/pump.go
@@ -21,10 +21,6 @@
 	"github.com/lagoontrail/lagoon/internal/trfc/offer"
 )
 
-// cancelGrace is how long before its lease or deadline ends a request is
-// given up, so that the server has surely stopped by then.
-const cancelGrace = 5 * time.Millisecond
-
 // System sends jobs.
 type System struct{}
 
@@ -93,7 +89,7 @@
 	g.SetInflight(g.Inflight() + 1)
 	j.SetStarted(now)
 	j.SetFull(g.Inflight() >= g.Ramp().Limit())
-	l.Launch(id, j, end-now-cancelGrace)
+	l.Launch(id, j, end-now-gates.CancelGrace)
 }
 
 // blocked returns why a job is not sent now, or an empty detail.
@@ -101,11 +97,11 @@
 	switch {
 	case j.Withdrawn():
 		return lagoon.StatusExpired, "withdrawn"
-	case j.Deadline()-now <= cancelGrace:
+	case j.Deadline()-now <= gates.CancelGrace:
 		return lagoon.StatusExpired, "the deadline came while the request was queued"
 	case l.FanOut():
 		return lagoon.StatusOK, ""
-	case l.View().LeaseUntil()-now <= cancelGrace:
+	case l.View().LeaseUntil()-now <= gates.CancelGrace:
 		return lagoon.StatusNotSent, "this node's lease has ended"
 	}
 	return allowed(l, j)
--- a/internal/trfc/settle/settle.go
+++ b/internal/trfc/settle/settle.go
@@ -30,10 +30,6 @@
 	latencyShare = 8  // weight of the past in the mean latency, plus one
 )
 
-// cancelGrace is how long a slot stays taken after its request was cancelled,
-// since the server needs that long to notice.
-const cancelGrace = 5 * time.Millisecond
-
 // Signs of a server that hangs.
 const (
 	hungFactor = 8
@@ -62,9 +58,9 @@
 
 func (s System) settle(l *lane.Lane, j *jobs.Row, g *gates.Row, now time.Duration) {
 	status := j.Reply().Status()
-	interrupted := status == lagoon.StatusUnknown && (j.Withdrawn() || now+cancelGrace >= j.Deadline())
+	interrupted := status == lagoon.StatusUnknown && (j.Withdrawn() || now+gates.CancelGrace >= j.Deadline())
 	if interrupted {
-		l.SlotBack(now+cancelGrace, j.Gate())
+		l.SlotBack(now+gates.CancelGrace, j.Gate())
 	} else {
 		g.SetInflight(g.Inflight() - 1)
 		l.Touch(j.Gate())
--- a/internal/trfc/trfc_test.go
+++ b/internal/trfc/trfc_test.go
@@ -60,9 +60,18 @@
 
 func (noLink) Send(string, lagoon.Message) bool { return false }
 
-// twoShards returns a view of two shards with three replicas each, which hold
-// index versions 1 and 2.
+// twoShards returns a view of two shards, changed by a test.
 func twoShards(change func(v *view.View)) *view.View {
+	v := viewOf(2, 4)
+	if change != nil {
+		change(v)
+	}
+	return v
+}
+
+// viewOf returns a view of a number of shards with three replicas each, which
+// hold index versions 1 and 2 and have a number of slots.
+func viewOf(shards, slots int) *view.View {
 	v := &view.View{}
 	v.SetSelf("n")
 	v.SetStart(1)
@@ -72,7 +81,7 @@
 	svc.SetName("desk")
 	svc.SetMapVersion(1)
 	index := map[string]int{}
-	for g := range 2 {
+	for g := range shards {
 		var group []int
 		for r := range 3 {
 			var s srvvw.Row
@@ -84,7 +93,7 @@
 			s.SetMine(true)
 			s.SetActing(true)
 			s.SetUp(true)
-			s.SetSlots(4)
+			s.SetSlots(slots)
 			s.SetSnapshots([]lagoon.Snapshot{lagoon.NewSnapshot(1, 1), lagoon.NewSnapshot(1, 2)})
 			index[s.Name()] = len(list)
 			group = append(group, len(list))
@@ -103,9 +112,6 @@
 	v.SetServices([]svcvw.Row{svc})
 	v.SetSvcIndex(map[string]int{"desk": 0})
 	v.SetKeepers(make([]string, 16))
-	if change != nil {
-		change(v)
-	}
 	return v
 }
 
