--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -4,6 +4,522 @@
 
 import "time"
 
+// Service returns the service's name.
+func (v Target) Service() string { return v.service }
+
+// SetService sets the service's name.
+func (v *Target) SetService(x string) { v.service = x }
+
+// Weight returns the share, relative to the other targets.
+func (v Target) Weight() float64 { return v.weight }
+
+// SetWeight sets the share, relative to the other targets.
+func (v *Target) SetWeight(x float64) { v.weight = x }
+
+// Name returns the route's name.
+func (v Route) Name() string { return v.name }
+
+// SetName sets the route's name.
+func (v *Route) SetName(x string) { v.name = x }
+
+// Host returns the host that callers name.
+func (v Route) Host() string { return v.host }
+
+// SetHost sets the host that callers name.
+func (v *Route) SetHost(x string) { v.host = x }
+
+// Prefix returns the beginning of the paths; begins and ends with a slash.
+func (v Route) Prefix() string { return v.prefix }
+
+// SetPrefix sets the beginning of the paths; begins and ends with a slash.
+func (v *Route) SetPrefix(x string) { v.prefix = x }
+
+// Idempotent returns whether a request may run more than once.
+func (v Route) Idempotent() bool { return v.idempotent }
+
+// SetIdempotent sets whether a request may run more than once.
+func (v *Route) SetIdempotent(x bool) { v.idempotent = x }
+
+// Timeout returns the longest time that a caller is kept waiting.
+func (v Route) Timeout() time.Duration { return v.timeout }
+
+// SetTimeout sets the longest time that a caller is kept waiting.
+func (v *Route) SetTimeout(x time.Duration) { v.timeout = x }
+
+// Objective returns the latency objective.
+func (v Route) Objective() time.Duration { return v.objective }
+
+// SetObjective sets the latency objective.
+func (v *Route) SetObjective(x time.Duration) { v.objective = x }
+
+// Attempts returns the most servers that one request is sent to, for each shard.
+func (v Route) Attempts() int { return v.attempts }
+
+// SetAttempts sets the most servers that one request is sent to, for each shard.
+func (v *Route) SetAttempts(x int) { v.attempts = x }
+
+// Priority returns the rank; 0 is the most urgent.
+func (v Route) Priority() int { return v.priority }
+
+// SetPriority sets the rank; 0 is the most urgent.
+func (v *Route) SetPriority(x int) { v.priority = x }
+
+// Targets returns the services that share the requests.
+func (v Route) Targets() []Target { return v.targets }
+
+// SetTargets sets the services that share the requests.
+func (v *Route) SetTargets(x []Target) { v.targets = x }
+
+// Shards returns the services that hold one shard each, when answers are gathered.
+func (v Route) Shards() []string { return v.shards }
+
+// SetShards sets the services that hold one shard each, when answers are gathered.
+func (v *Route) SetShards(x []string) { v.shards = x }
+
+// Records returns the most records of a gathered answer.
+func (v Route) Records() int { return v.records }
+
+// SetRecords sets the most records of a gathered answer.
+func (v *Route) SetRecords(x int) { v.records = x }
+
+// MinCoverage returns the smallest share of shards that a gathered answer covers, 0 to 1.
+func (v Route) MinCoverage() float64 { return v.minCoverage }
+
+// SetMinCoverage sets the smallest share of shards that a gathered answer covers, 0 to 1.
+func (v *Route) SetMinCoverage(x float64) { v.minCoverage = x }
+
+// Name returns the service's name.
+func (v Pool) Name() string { return v.name }
+
+// SetName sets the service's name.
+func (v *Pool) SetName(x string) { v.name = x }
+
+// Conns returns connections that each server accepts from all nodes together.
+func (v Pool) Conns() int { return v.conns }
+
+// SetConns sets connections that each server accepts from all nodes together.
+func (v *Pool) SetConns(x int) { v.conns = x }
+
+// ColdPerSecond returns requests a second that a cold server bears from all nodes together; 0 for no such bound.
+func (v Pool) ColdPerSecond() float64 { return v.coldPerSecond }
+
+// SetColdPerSecond sets requests a second that a cold server bears from all nodes together; 0 for no such bound.
+func (v *Pool) SetColdPerSecond(x float64) { v.coldPerSecond = x }
+
+// HeaderBytes returns the largest header, in bytes.
+func (v Limits) HeaderBytes() int { return v.headerBytes }
+
+// SetHeaderBytes sets the largest header, in bytes.
+func (v *Limits) SetHeaderBytes(x int) { v.headerBytes = x }
+
+// BodyBytes returns the largest body, in bytes.
+func (v Limits) BodyBytes() int { return v.bodyBytes }
+
+// SetBodyBytes sets the largest body, in bytes.
+func (v *Limits) SetBodyBytes(x int) { v.bodyBytes = x }
+
+// HeaderTimeout returns the longest time that a header may take.
+func (v Limits) HeaderTimeout() time.Duration { return v.headerTimeout }
+
+// SetHeaderTimeout sets the longest time that a header may take.
+func (v *Limits) SetHeaderTimeout(x time.Duration) { v.headerTimeout = x }
+
+// IdleTimeout returns the longest time that a connection may stay idle.
+func (v Limits) IdleTimeout() time.Duration { return v.idleTimeout }
+
+// SetIdleTimeout sets the longest time that a connection may stay idle.
+func (v *Limits) SetIdleTimeout(x time.Duration) { v.idleTimeout = x }
+
+// Version returns the operators' version.
+func (v Catalog) Version() uint64 { return v.version }
+
+// SetVersion sets the operators' version.
+func (v *Catalog) SetVersion(x uint64) { v.version = x }
+
+// Revision returns the revision of the platform's store that wrote it.
+func (v Catalog) Revision() uint64 { return v.revision }
+
+// SetRevision sets the revision of the platform's store that wrote it.
+func (v *Catalog) SetRevision(x uint64) { v.revision = x }
+
+// Routes returns the routes.
+func (v Catalog) Routes() []Route { return v.routes }
+
+// SetRoutes sets the routes.
+func (v *Catalog) SetRoutes(x []Route) { v.routes = x }
+
+// Pools returns the services.
+func (v Catalog) Pools() []Pool { return v.pools }
+
+// SetPools sets the services.
+func (v *Catalog) SetPools(x []Pool) { v.pools = x }
+
+// Limits returns the bounds on callers.
+func (v Catalog) Limits() Limits { return v.limits }
+
+// SetLimits sets the bounds on callers.
+func (v *Catalog) SetLimits(x Limits) { v.limits = x }
+
+// ID returns the server's id.
+func (v Replica) ID() string { return v.id }
+
+// SetID sets the server's id.
+func (v *Replica) SetID(x string) { v.id = x }
+
+// Service returns the service's name.
+func (v Replica) Service() string { return v.service }
+
+// SetService sets the service's name.
+func (v *Replica) SetService(x string) { v.service = x }
+
+// Addr returns the address and port.
+func (v Replica) Addr() string { return v.addr }
+
+// SetAddr sets the address and port.
+func (v *Replica) SetAddr(x string) { v.addr = x }
+
+// Zone returns the availability zone.
+func (v Replica) Zone() string { return v.zone }
+
+// SetZone sets the availability zone.
+func (v *Replica) SetZone(x string) { v.zone = x }
+
+// Slots returns requests that the server runs at once.
+func (v Replica) Slots() int { return v.slots }
+
+// SetSlots sets requests that the server runs at once.
+func (v *Replica) SetSlots(x int) { v.slots = x }
+
+// Leaving returns whether the server announced that it will stop.
+func (v Replica) Leaving() bool { return v.leaving }
+
+// SetLeaving sets whether the server announced that it will stop.
+func (v *Replica) SetLeaving(x bool) { v.leaving = x }
+
+// Cold returns the time for which it stays cold, from the announcement on.
+func (v Replica) Cold() time.Duration { return v.cold }
+
+// SetCold sets the time for which it stays cold, from the announcement on.
+func (v *Replica) SetCold(x time.Duration) { v.cold = x }
+
+// Born returns the start of the server, in Unix milliseconds.
+func (v Replica) Born() int64 { return v.born }
+
+// SetBorn sets the start of the server, in Unix milliseconds.
+func (v *Replica) SetBorn(x int64) { v.born = x }
+
+// Revision returns the revision of the platform's store that holds the announcement.
+func (v Replica) Revision() uint64 { return v.revision }
+
+// SetRevision sets the revision of the platform's store that holds the announcement.
+func (v *Replica) SetRevision(x uint64) { v.revision = x }
+
+// Topic returns what the news is about.
+func (v News) Topic() Topic { return v.topic }
+
+// SetTopic sets what the news is about.
+func (v *News) SetTopic(x Topic) { v.topic = x }
+
+// Full returns whether it replaces all that was told of the topic before.
+func (v News) Full() bool { return v.full }
+
+// SetFull sets whether it replaces all that was told of the topic before.
+func (v *News) SetFull(x bool) { v.full = x }
+
+// Catalog returns for TopicCatalog, the newest catalog.
+func (v News) Catalog() Catalog { return v.catalog }
+
+// SetCatalog sets for TopicCatalog, the newest catalog.
+func (v *News) SetCatalog(x Catalog) { v.catalog = x }
+
+// Replicas returns for TopicReplicas, the replicas announced or changed.
+func (v News) Replicas() []Replica { return v.replicas }
+
+// SetReplicas sets for TopicReplicas, the replicas announced or changed.
+func (v *News) SetReplicas(x []Replica) { v.replicas = x }
+
+// Zones returns for TopicZones, the availability zones taken out.
+func (v News) Zones() []string { return v.zones }
+
+// SetZones sets for TopicZones, the availability zones taken out.
+func (v *News) SetZones(x []string) { v.zones = x }
+
+// Members returns for TopicMembers, the nodes announced or changed.
+func (v News) Members() []Member { return v.members }
+
+// SetMembers sets for TopicMembers, the nodes announced or changed.
+func (v *News) SetMembers(x []Member) { v.members = x }
+
+// Removed returns the ids or names whose announcement is gone.
+func (v News) Removed() []string { return v.removed }
+
+// SetRemoved sets the ids or names whose announcement is gone.
+func (v *News) SetRemoved(x []string) { v.removed = x }
+
+// Detail returns for TopicLost, the cause.
+func (v News) Detail() string { return v.detail }
+
+// SetDetail sets for TopicLost, the cause.
+func (v *News) SetDetail(x string) { v.detail = x }
+
+// ID returns the request id, unique for each attempt of a caller.
+func (v Ask) ID() string { return v.id }
+
+// SetID sets the request id, unique for each attempt of a caller.
+func (v *Ask) SetID(x string) { v.id = x }
+
+// Host returns the host that the caller named.
+func (v Ask) Host() string { return v.host }
+
+// SetHost sets the host that the caller named.
+func (v *Ask) SetHost(x string) { v.host = x }
+
+// Path returns the path.
+func (v Ask) Path() string { return v.path }
+
+// SetPath sets the path.
+func (v *Ask) SetPath(x string) { v.path = x }
+
+// Timeout returns the time that the caller waits; 0 takes the route's.
+func (v Ask) Timeout() time.Duration { return v.timeout }
+
+// SetTimeout sets the time that the caller waits; 0 takes the route's.
+func (v *Ask) SetTimeout(x time.Duration) { v.timeout = x }
+
+// Encoded returns the request as the front end reads it; decisions pass it on unread.
+func (v Ask) Encoded() any { return v.encoded }
+
+// SetEncoded sets the request as the front end reads it; decisions pass it on unread.
+func (v *Ask) SetEncoded(x any) { v.encoded = x }
+
+// BodySize returns the size of the body, in bytes.
+func (v Ask) BodySize() int { return v.bodySize }
+
+// SetBodySize sets the size of the body, in bytes.
+func (v *Ask) SetBodySize(x int) { v.bodySize = x }
+
+// ID returns the request id.
+func (v Attempt) ID() string { return v.id }
+
+// SetID sets the request id.
+func (v *Attempt) SetID(x string) { v.id = x }
+
+// Replica returns the replica.
+func (v Attempt) Replica() Replica { return v.replica }
+
+// SetReplica sets the replica.
+func (v *Attempt) SetReplica(x Replica) { v.replica = x }
+
+// Timeout returns the time left until the caller stops waiting.
+func (v Attempt) Timeout() time.Duration { return v.timeout }
+
+// SetTimeout sets the time left until the caller stops waiting.
+func (v *Attempt) SetTimeout(x time.Duration) { v.timeout = x }
+
+// Fresh returns whether a kept connection must have been used just before.
+func (v Attempt) Fresh() bool { return v.fresh }
+
+// SetFresh sets whether a kept connection must have been used just before.
+func (v *Attempt) SetFresh(x bool) { v.fresh = x }
+
+// Encoded returns the request.
+func (v Attempt) Encoded() any { return v.encoded }
+
+// SetEncoded sets the request.
+func (v *Attempt) SetEncoded(x any) { v.encoded = x }
+
+// Status returns how the attempt ended.
+func (v Verdict) Status() Status { return v.status }
+
+// SetStatus sets how the attempt ended.
+func (v *Verdict) SetStatus(x Status) { v.status = x }
+
+// Reply returns the server's answer, for StatusOK and StatusFailed.
+func (v Verdict) Reply() any { return v.reply }
+
+// SetReply sets the server's answer, for StatusOK and StatusFailed.
+func (v *Verdict) SetReply(x any) { v.reply = x }
+
+// Final returns for StatusFailed, whether another server would answer alike.
+func (v Verdict) Final() bool { return v.final }
+
+// SetFinal sets for StatusFailed, whether another server would answer alike.
+func (v *Verdict) SetFinal(x bool) { v.final = x }
+
+// Misplaced returns whether another server has the address.
+func (v Verdict) Misplaced() bool { return v.misplaced }
+
+// SetMisplaced sets whether another server has the address.
+func (v *Verdict) SetMisplaced(x bool) { v.misplaced = x }
+
+// Running returns requests running at the server, as it told.
+func (v Verdict) Running() int { return v.running }
+
+// SetRunning sets requests running at the server, as it told.
+func (v *Verdict) SetRunning(x int) { v.running = x }
+
+// Waiting returns requests waiting at the server, as it told.
+func (v Verdict) Waiting() int { return v.waiting }
+
+// SetWaiting sets requests waiting at the server, as it told.
+func (v *Verdict) SetWaiting(x int) { v.waiting = x }
+
+// Slots returns the server's slots, as it told; 0 when it told nothing.
+func (v Verdict) Slots() int { return v.slots }
+
+// SetSlots sets the server's slots, as it told; 0 when it told nothing.
+func (v *Verdict) SetSlots(x int) { v.slots = x }
+
+// Detail returns the cause of a failure, for people.
+func (v Verdict) Detail() string { return v.detail }
+
+// SetDetail sets the cause of a failure, for people.
+func (v *Verdict) SetDetail(x string) { v.detail = x }
+
+// Opened returns whether a connection was opened for it.
+func (v Verdict) Opened() bool { return v.opened }
+
+// SetOpened sets whether a connection was opened for it.
+func (v *Verdict) SetOpened(x bool) { v.opened = x }
+
+// Connecting returns the time that opening the connection took.
+func (v Verdict) Connecting() time.Duration { return v.connecting }
+
+// SetConnecting sets the time that opening the connection took.
+func (v *Verdict) SetConnecting(x time.Duration) { v.connecting = x }
+
+// End returns how the request ends.
+func (v Ruling) End() End { return v.end }
+
+// SetEnd sets how the request ends.
+func (v *Ruling) SetEnd(x End) { v.end = x }
+
+// Reply returns for EndServed and EndFailed, the server's answer.
+func (v Ruling) Reply() any { return v.reply }
+
+// SetReply sets for EndServed and EndFailed, the server's answer.
+func (v *Ruling) SetReply(x any) { v.reply = x }
+
+// Parts returns for EndGathered, the answers of the shards that are covered.
+func (v Ruling) Parts() []any { return v.parts }
+
+// SetParts sets for EndGathered, the answers of the shards that are covered.
+func (v *Ruling) SetParts(x []any) { v.parts = x }
+
+// Missing returns for EndGathered, the shards that are not covered.
+func (v Ruling) Missing() int { return v.missing }
+
+// SetMissing sets for EndGathered, the shards that are not covered.
+func (v *Ruling) SetMissing(x int) { v.missing = x }
+
+// Records returns for EndGathered, the most records of the answer.
+func (v Ruling) Records() int { return v.records }
+
+// SetRecords sets for EndGathered, the most records of the answer.
+func (v *Ruling) SetRecords(x int) { v.records = x }
+
+// RetryAfter returns for EndRefused, when to come back; 0 says nothing.
+func (v Ruling) RetryAfter() time.Duration { return v.retryAfter }
+
+// SetRetryAfter sets for EndRefused, when to come back; 0 says nothing.
+func (v *Ruling) SetRetryAfter(x time.Duration) { v.retryAfter = x }
+
+// Reason returns the cause, for people.
+func (v Ruling) Reason() string { return v.reason }
+
+// SetReason sets the cause, for people.
+func (v *Ruling) SetReason(x string) { v.reason = x }
+
+// Elapsed returns the time since the request arrived.
+func (v PartialView) Elapsed() time.Duration { return v.elapsed }
+
+// SetElapsed sets the time since the request arrived.
+func (v *PartialView) SetElapsed(x time.Duration) { v.elapsed = x }
+
+// Objective returns the latency objective.
+func (v PartialView) Objective() time.Duration { return v.objective }
+
+// SetObjective sets the latency objective.
+func (v *PartialView) SetObjective(x time.Duration) { v.objective = x }
+
+// Left returns the time until the caller stops waiting.
+func (v PartialView) Left() time.Duration { return v.left }
+
+// SetLeft sets the time until the caller stops waiting.
+func (v *PartialView) SetLeft(x time.Duration) { v.left = x }
+
+// Covered returns the shards that have answered.
+func (v PartialView) Covered() int { return v.covered }
+
+// SetCovered sets the shards that have answered.
+func (v *PartialView) SetCovered(x int) { v.covered = x }
+
+// Total returns all shards.
+func (v PartialView) Total() int { return v.total }
+
+// SetTotal sets all shards.
+func (v *PartialView) SetTotal(x int) { v.total = x }
+
+// MinCoverage returns the smallest share of shards that may be answered.
+func (v PartialView) MinCoverage() float64 { return v.minCoverage }
+
+// SetMinCoverage sets the smallest share of shards that may be answered.
+func (v *PartialView) SetMinCoverage(x float64) { v.minCoverage = x }
+
+// Slots returns requests that the server runs at once.
+func (v ReplicaView) Slots() int { return v.slots }
+
+// SetSlots sets requests that the server runs at once.
+func (v *ReplicaView) SetSlots(x int) { v.slots = x }
+
+// Inflight returns requests that this node has under way there.
+func (v ReplicaView) Inflight() int { return v.inflight }
+
+// SetInflight sets requests that this node has under way there.
+func (v *ReplicaView) SetInflight(x int) { v.inflight = x }
+
+// Queued returns requests under way there for other nodes, as last told and aged.
+func (v ReplicaView) Queued() float64 { return v.queued }
+
+// SetQueued sets requests under way there for other nodes, as last told and aged.
+func (v *ReplicaView) SetQueued(x float64) { v.queued = x }
+
+// Slowness returns the time its answers take, relative to its group's.
+func (v ReplicaView) Slowness() float64 { return v.slowness }
+
+// SetSlowness sets the time its answers take, relative to its group's.
+func (v *ReplicaView) SetSlowness(x float64) { v.slowness = x }
+
+// SameZone returns whether it is in this node's availability zone.
+func (v ReplicaView) SameZone() bool { return v.sameZone }
+
+// SetSameZone sets whether it is in this node's availability zone.
+func (v *ReplicaView) SetSameZone(x bool) { v.sameZone = x }
+
+// Cold returns whether it started a short time ago.
+func (v ReplicaView) Cold() bool { return v.cold }
+
+// SetCold sets whether it started a short time ago.
+func (v *ReplicaView) SetCold(x bool) { v.cold = x }
+
+// Leaving returns whether it is leaving or its announcement is gone.
+func (v ReplicaView) Leaving() bool { return v.leaving }
+
+// SetLeaving sets whether it is leaving or its announcement is gone.
+func (v *ReplicaView) SetLeaving(x bool) { v.leaving = x }
+
+// Failures returns failures in a row.
+func (v ReplicaView) Failures() int { return v.failures }
+
+// SetFailures sets failures in a row.
+func (v *ReplicaView) SetFailures(x int) { v.failures = x }
+
+// Noise returns a fresh random number, 0 to 1.
+func (v ReplicaView) Noise() float64 { return v.noise }
+
+// SetNoise sets a fresh random number, 0 to 1.
+func (v *ReplicaView) SetNoise(x float64) { v.noise = x }
+
 // Server returns the server's name.
 func (v ServerStatus) Server() string { return v.server }
 
@@ -478,6 +994,12 @@
 // SetZone sets the availability zone.
 func (v *Member) SetZone(x string) { v.zone = x }
 
+// Front returns the address and port that callers connect to; empty when it is addr.
+func (v Member) Front() string { return v.front }
+
+// SetFront sets the address and port that callers connect to; empty when it is addr.
+func (v *Member) SetFront(x string) { v.front = x }
+
 // Server returns the server's name.
 func (v Assignment) Server() string { return v.server }
 
--- a/enums.go
+++ b/enums.go
@@ -21,11 +21,12 @@
 	StatusRefused                   // the server or its owner refused the request before running it
 	StatusVersionGone               // the server does not hold the snapshot
 	StatusExpired                   // the deadline passed before the request was sent
+	StatusFailed                    // the server ran the request and answered with a failure
 )
 
 // String returns the status in snake case.
 func (s Status) String() string {
-	names := [...]string{"unknown", "ok", "not_sent", "refused", "version_gone", "expired"}
+	names := [...]string{"unknown", "ok", "not_sent", "refused", "version_gone", "expired", "failed"}
 	if int(s) >= len(names) {
 		return "invalid"
 	}
@@ -79,3 +80,42 @@
 	SampleCold                  // refused for overload, or as slow as a cold server
 	SampleRestart               // the start id changed
 )
+
+// Topic says what News are about.
+type Topic uint8
+
+// The topics of News.
+const (
+	TopicCatalog  Topic = iota // what operators declared
+	TopicReplicas              // servers
+	TopicZones                 // availability zones taken out
+	TopicMembers               // nodes
+	TopicLost                  // the registry does not answer
+	TopicRegained              // the registry answers again
+)
+
+// End says how a routed request ends.
+type End uint8
+
+// The ends of a routed request. EndRefused is said only when the request surely
+// did not run and never will.
+const (
+	EndLost     End = iota // the request may have run, and its answer is lost
+	EndServed              // one server answered
+	EndFailed              // one server ran the request and answered with a failure
+	EndGathered            // the answers of enough shards are there
+	EndRefused             // the request did not run
+	EndExpired             // the time ran out
+	EndNoRoute             // no route is declared for it
+	EndTooLarge            // the body is over the declared limit
+	EndGone                // the caller went away
+)
+
+// String returns the end in snake case.
+func (e End) String() string {
+	names := [...]string{"lost", "served", "failed", "gathered", "refused", "expired", "no_route", "too_large", "gone"}
+	if int(e) >= len(names) {
+		return "invalid"
+	}
+	return names[e]
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -119,3 +119,36 @@
 type Journal interface {
 	Note(d Decision)
 }
+
+// Registry tells what operators declared and which servers and nodes there are.
+type Registry interface {
+	// Follow calls tell with all there is and then with each change, until ctx
+	// ends. tell may wait.
+	Follow(ctx context.Context, tell func(News)) error
+	// Announce makes this node known to the others.
+	Announce(ctx context.Context, self Member) error
+}
+
+// Exchange sends attempts to servers. Do blocks until the attempt ends and
+// reports every failure in the Verdict's status; it never sends an attempt a
+// second time.
+type Exchange interface {
+	Do(ctx context.Context, a Attempt) Verdict
+}
+
+// Router decides on requests, whatever encoding they arrived in. The request is
+// given up when ctx ends.
+type Router interface {
+	Route(ctx context.Context, a Ask) Ruling
+}
+
+// PartialPolicy decides when an answer that does not cover all shards is given.
+// It returns how long to wait before asking again; 0 waits for the next shard.
+type PartialPolicy interface {
+	Answer(v PartialView) (now bool, wait time.Duration)
+}
+
+// ReplicaPolicy rates a replica for the next attempt; the lowest cost is taken.
+type ReplicaPolicy interface {
+	Cost(v ReplicaView) float64
+}
--- a/internal/accgen/main.go
+++ b/internal/accgen/main.go
@@ -23,6 +23,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 	"unicode"
@@ -219,12 +220,20 @@
 	}
 	var b bytes.Buffer
 	for _, r := range records {
-		writeForm(&b, r, known)
+		if travels(r) {
+			writeForm(&b, r, known)
+		}
 	}
 	imports := map[string]string{"time": "time", "lagoon": "github.com/lagoontrail/lagoon"}
 	return append(header("wire", imports, b.String()), b.Bytes()...)
 }
 
+// travels reports whether a record is sent between nodes. One with a field of
+// any type is passed within a process only.
+func travels(r record) bool {
+	return !slices.ContainsFunc(r.fields, func(f field) bool { return f.typ == "any" || f.typ == "[]any" })
+}
+
 func writeForm(b *bytes.Buffer, r record, known map[string]bool) {
 	low := strings.ToLower(r.name[:1]) + r.name[1:]
 	fmt.Fprintf(b, "// %sForm is the wire form of lagoon.%s.\ntype %sForm struct {\n", low, r.name, low)
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -22,6 +22,8 @@
 
 	"github.com/lagoontrail/lagoon/internal/node"
 	"github.com/lagoontrail/lagoon/internal/sets"
+	"github.com/lagoontrail/lagoon/platform/boot"
+	"github.com/lagoontrail/lagoon/platform/conf"
 )
 
 // Version is the version of this program.
@@ -70,7 +72,7 @@
 		Example:       "  lagoontrail demo\n  lagoontrail node --config node.json",
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	c.AddCommand(nodeCommand(), checkCommand(), standinCommand(), versionCommand(), demoCommand(), benchCommand())
+	c.AddCommand(nodeCommand(), platformCommand(), checkCommand(), standinCommand(), versionCommand(), demoCommand(), benchCommand())
 	c.AddCommand(operatorCommands()...)
 	return c
 }
@@ -102,6 +104,13 @@
 	return c
 }
 
+func platformCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "platform", Short: "Run one node on the users' platform until it is told to stop", Example: "  " + conf.Variable + "=/etc/lagoontrail/local.toml lagoontrail platform", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return boot.Run(c.Context(), c.OutOrStdout()) },
+	}
+}
+
 // readSettings reads settings and prints all their faults.
 func readSettings(path string, errOut io.Writer) (*sets.Settings, error) {
 	data, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/direct/ctl/ctl.go
@@ -0,0 +1,26 @@
+// Package ctl lists the control systems of a node that sends to servers itself,
+// in the order of a tick.
+//
+// # Usage
+//
+//	b.SetSystems(ctl.Systems())
+package ctl
+
+import (
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/board"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/beats"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/fade"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/learn"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/show"
+)
+
+// Systems returns a fresh list of the control systems.
+func Systems() []lagoon.System[*board.Board] {
+	return []lagoon.System[*board.Board]{
+		learn.System{},
+		beats.System{},
+		fade.System{},
+		show.System{},
+	}
+}
--- /dev/null
+++ b/internal/direct/ctl/fade/fade.go
@@ -0,0 +1,49 @@
+// Package fade drops servers whose announcement has been gone for a while or
+// that have been leaving for a while.
+//
+// # Usage
+//
+//	systems = append(systems, fade.System{})
+//
+// A server without an announcement may only have lost it while the registry was
+// away, so it stays a last resort for LastResort. A server that is leaving may
+// be the only one of its service for a moment, so it stays one as well.
+package fade
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/board"
+)
+
+// LastResort is the time for which a server that is leaving or whose
+// announcement is gone still gets requests that no other server can take. It is
+// under the shortest time that servers serve on, 3 s, by what the news and an
+// attempt take; announcements lost in an outage return within 2 s.
+const LastResort = 2200 * time.Millisecond
+
+// System drops servers.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "fade" }
+
+// Run drops the servers whose time is over.
+func (System) Run(b *board.Board, now time.Duration) {
+	var over []lagoon.RowID
+	for i := range b.Servers().Len() {
+		row := b.Servers().At(i)
+		if row.GoneAt() > 0 && now-row.GoneAt() >= LastResort {
+			over = append(over, b.Servers().ID(i))
+		}
+		if left := row.LeavingAt(); left > 0 && now-left >= LastResort && now-left < LastResort+2*board.Period {
+			b.SetTouched(true)
+		}
+	}
+	for _, id := range over {
+		b.Note("server_dropped", b.Servers().KeyOf(id), "its announcement did not return")
+		b.Servers().Remove(id)
+		b.SetTouched(true)
+	}
+}
--- /dev/null
+++ b/internal/direct/funds/funds.go
@@ -0,0 +1,24 @@
+// Package funds holds a flow's budget of extra attempts at one service.
+//
+// # Usage
+//
+//	f := t.Ensure("archive-desk-3")
+//	if f.ExtraRef().Take() { sendAgain() }
+package funds
+
+import (
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/budget"
+)
+
+//go:generate go run ../../accgen -dir . -rows
+
+// Row is one service.
+type Row struct {
+	waiting []lagoon.RowID // shards that wait for a server
+
+	extra budget.Tokens
+}
+
+// ExtraRef returns the budget, to be changed in place.
+func (r *Row) ExtraRef() *budget.Tokens { return &r.extra }
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -5,6 +5,306 @@
 import "time"
 import "github.com/lagoontrail/lagoon"
 
+// targetForm is the wire form of lagoon.Target.
+type targetForm struct {
+	Service string  `cbor:"1,keyasint,omitempty" json:"service,omitempty"`
+	Weight  float64 `cbor:"2,keyasint,omitempty" json:"weight,omitempty"`
+}
+
+func toTarget(v lagoon.Target) targetForm {
+	return targetForm{
+		Service: v.Service(),
+		Weight:  v.Weight(),
+	}
+}
+
+func fromTarget(m targetForm) lagoon.Target {
+	var v lagoon.Target
+	v.SetService(m.Service)
+	v.SetWeight(m.Weight)
+	return v
+}
+
+// routeForm is the wire form of lagoon.Route.
+type routeForm struct {
+	Name        string        `cbor:"1,keyasint,omitempty" json:"name,omitempty"`
+	Host        string        `cbor:"2,keyasint,omitempty" json:"host,omitempty"`
+	Prefix      string        `cbor:"3,keyasint,omitempty" json:"prefix,omitempty"`
+	Idempotent  bool          `cbor:"4,keyasint,omitempty" json:"idempotent,omitempty"`
+	Timeout     time.Duration `cbor:"5,keyasint,omitempty" json:"timeout,omitempty"`
+	Objective   time.Duration `cbor:"6,keyasint,omitempty" json:"objective,omitempty"`
+	Attempts    int           `cbor:"7,keyasint,omitempty" json:"attempts,omitempty"`
+	Priority    int           `cbor:"8,keyasint,omitempty" json:"priority,omitempty"`
+	Targets     []targetForm  `cbor:"9,keyasint,omitempty" json:"targets,omitempty"`
+	Shards      []string      `cbor:"10,keyasint,omitempty" json:"shards,omitempty"`
+	Records     int           `cbor:"11,keyasint,omitempty" json:"records,omitempty"`
+	MinCoverage float64       `cbor:"12,keyasint,omitempty" json:"min_coverage,omitempty"`
+}
+
+func toRoute(v lagoon.Route) routeForm {
+	return routeForm{
+		Name:        v.Name(),
+		Host:        v.Host(),
+		Prefix:      v.Prefix(),
+		Idempotent:  v.Idempotent(),
+		Timeout:     v.Timeout(),
+		Objective:   v.Objective(),
+		Attempts:    v.Attempts(),
+		Priority:    v.Priority(),
+		Targets:     each(v.Targets(), toTarget),
+		Shards:      v.Shards(),
+		Records:     v.Records(),
+		MinCoverage: v.MinCoverage(),
+	}
+}
+
+func fromRoute(m routeForm) lagoon.Route {
+	var v lagoon.Route
+	v.SetName(m.Name)
+	v.SetHost(m.Host)
+	v.SetPrefix(m.Prefix)
+	v.SetIdempotent(m.Idempotent)
+	v.SetTimeout(m.Timeout)
+	v.SetObjective(m.Objective)
+	v.SetAttempts(m.Attempts)
+	v.SetPriority(m.Priority)
+	v.SetTargets(each(m.Targets, fromTarget))
+	v.SetShards(m.Shards)
+	v.SetRecords(m.Records)
+	v.SetMinCoverage(m.MinCoverage)
+	return v
+}
+
+// poolForm is the wire form of lagoon.Pool.
+type poolForm struct {
+	Name          string  `cbor:"1,keyasint,omitempty" json:"name,omitempty"`
+	Conns         int     `cbor:"2,keyasint,omitempty" json:"conns,omitempty"`
+	ColdPerSecond float64 `cbor:"3,keyasint,omitempty" json:"cold_per_second,omitempty"`
+}
+
+func toPool(v lagoon.Pool) poolForm {
+	return poolForm{
+		Name:          v.Name(),
+		Conns:         v.Conns(),
+		ColdPerSecond: v.ColdPerSecond(),
+	}
+}
+
+func fromPool(m poolForm) lagoon.Pool {
+	var v lagoon.Pool
+	v.SetName(m.Name)
+	v.SetConns(m.Conns)
+	v.SetColdPerSecond(m.ColdPerSecond)
+	return v
+}
+
+// limitsForm is the wire form of lagoon.Limits.
+type limitsForm struct {
+	HeaderBytes   int           `cbor:"1,keyasint,omitempty" json:"header_bytes,omitempty"`
+	BodyBytes     int           `cbor:"2,keyasint,omitempty" json:"body_bytes,omitempty"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty" json:"header_timeout,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty" json:"idle_timeout,omitempty"`
+}
+
+func toLimits(v lagoon.Limits) limitsForm {
+	return limitsForm{
+		HeaderBytes:   v.HeaderBytes(),
+		BodyBytes:     v.BodyBytes(),
+		HeaderTimeout: v.HeaderTimeout(),
+		IdleTimeout:   v.IdleTimeout(),
+	}
+}
+
+func fromLimits(m limitsForm) lagoon.Limits {
+	var v lagoon.Limits
+	v.SetHeaderBytes(m.HeaderBytes)
+	v.SetBodyBytes(m.BodyBytes)
+	v.SetHeaderTimeout(m.HeaderTimeout)
+	v.SetIdleTimeout(m.IdleTimeout)
+	return v
+}
+
+// catalogForm is the wire form of lagoon.Catalog.
+type catalogForm struct {
+	Version  uint64      `cbor:"1,keyasint,omitempty" json:"version,omitempty"`
+	Revision uint64      `cbor:"2,keyasint,omitempty" json:"revision,omitempty"`
+	Routes   []routeForm `cbor:"3,keyasint,omitempty" json:"routes,omitempty"`
+	Pools    []poolForm  `cbor:"4,keyasint,omitempty" json:"pools,omitempty"`
+	Limits   limitsForm  `cbor:"5,keyasint,omitempty" json:"limits,omitempty"`
+}
+
+func toCatalog(v lagoon.Catalog) catalogForm {
+	return catalogForm{
+		Version:  v.Version(),
+		Revision: v.Revision(),
+		Routes:   each(v.Routes(), toRoute),
+		Pools:    each(v.Pools(), toPool),
+		Limits:   toLimits(v.Limits()),
+	}
+}
+
+func fromCatalog(m catalogForm) lagoon.Catalog {
+	var v lagoon.Catalog
+	v.SetVersion(m.Version)
+	v.SetRevision(m.Revision)
+	v.SetRoutes(each(m.Routes, fromRoute))
+	v.SetPools(each(m.Pools, fromPool))
+	v.SetLimits(fromLimits(m.Limits))
+	return v
+}
+
+// replicaForm is the wire form of lagoon.Replica.
+type replicaForm struct {
+	ID       string        `cbor:"1,keyasint,omitempty" json:"id,omitempty"`
+	Service  string        `cbor:"2,keyasint,omitempty" json:"service,omitempty"`
+	Addr     string        `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
+	Zone     string        `cbor:"4,keyasint,omitempty" json:"zone,omitempty"`
+	Slots    int           `cbor:"5,keyasint,omitempty" json:"slots,omitempty"`
+	Leaving  bool          `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
+	Cold     time.Duration `cbor:"7,keyasint,omitempty" json:"cold,omitempty"`
+	Born     int64         `cbor:"8,keyasint,omitempty" json:"born,omitempty"`
+	Revision uint64        `cbor:"9,keyasint,omitempty" json:"revision,omitempty"`
+}
+
+func toReplica(v lagoon.Replica) replicaForm {
+	return replicaForm{
+		ID:       v.ID(),
+		Service:  v.Service(),
+		Addr:     v.Addr(),
+		Zone:     v.Zone(),
+		Slots:    v.Slots(),
+		Leaving:  v.Leaving(),
+		Cold:     v.Cold(),
+		Born:     v.Born(),
+		Revision: v.Revision(),
+	}
+}
+
+func fromReplica(m replicaForm) lagoon.Replica {
+	var v lagoon.Replica
+	v.SetID(m.ID)
+	v.SetService(m.Service)
+	v.SetAddr(m.Addr)
+	v.SetZone(m.Zone)
+	v.SetSlots(m.Slots)
+	v.SetLeaving(m.Leaving)
+	v.SetCold(m.Cold)
+	v.SetBorn(m.Born)
+	v.SetRevision(m.Revision)
+	return v
+}
+
+// newsForm is the wire form of lagoon.News.
+type newsForm struct {
+	Topic    lagoon.Topic  `cbor:"1,keyasint,omitempty" json:"topic,omitempty"`
+	Full     bool          `cbor:"2,keyasint,omitempty" json:"full,omitempty"`
+	Catalog  catalogForm   `cbor:"3,keyasint,omitempty" json:"catalog,omitempty"`
+	Replicas []replicaForm `cbor:"4,keyasint,omitempty" json:"replicas,omitempty"`
+	Zones    []string      `cbor:"5,keyasint,omitempty" json:"zones,omitempty"`
+	Members  []memberForm  `cbor:"6,keyasint,omitempty" json:"members,omitempty"`
+	Removed  []string      `cbor:"7,keyasint,omitempty" json:"removed,omitempty"`
+	Detail   string        `cbor:"8,keyasint,omitempty" json:"detail,omitempty"`
+}
+
+func toNews(v lagoon.News) newsForm {
+	return newsForm{
+		Topic:    v.Topic(),
+		Full:     v.Full(),
+		Catalog:  toCatalog(v.Catalog()),
+		Replicas: each(v.Replicas(), toReplica),
+		Zones:    v.Zones(),
+		Members:  each(v.Members(), toMember),
+		Removed:  v.Removed(),
+		Detail:   v.Detail(),
+	}
+}
+
+func fromNews(m newsForm) lagoon.News {
+	var v lagoon.News
+	v.SetTopic(m.Topic)
+	v.SetFull(m.Full)
+	v.SetCatalog(fromCatalog(m.Catalog))
+	v.SetReplicas(each(m.Replicas, fromReplica))
+	v.SetZones(m.Zones)
+	v.SetMembers(each(m.Members, fromMember))
+	v.SetRemoved(m.Removed)
+	v.SetDetail(m.Detail)
+	return v
+}
+
+// partialViewForm is the wire form of lagoon.PartialView.
+type partialViewForm struct {
+	Elapsed     time.Duration `cbor:"1,keyasint,omitempty" json:"elapsed,omitempty"`
+	Objective   time.Duration `cbor:"2,keyasint,omitempty" json:"objective,omitempty"`
+	Left        time.Duration `cbor:"3,keyasint,omitempty" json:"left,omitempty"`
+	Covered     int           `cbor:"4,keyasint,omitempty" json:"covered,omitempty"`
+	Total       int           `cbor:"5,keyasint,omitempty" json:"total,omitempty"`
+	MinCoverage float64       `cbor:"6,keyasint,omitempty" json:"min_coverage,omitempty"`
+}
+
+func toPartialView(v lagoon.PartialView) partialViewForm {
+	return partialViewForm{
+		Elapsed:     v.Elapsed(),
+		Objective:   v.Objective(),
+		Left:        v.Left(),
+		Covered:     v.Covered(),
+		Total:       v.Total(),
+		MinCoverage: v.MinCoverage(),
+	}
+}
+
+func fromPartialView(m partialViewForm) lagoon.PartialView {
+	var v lagoon.PartialView
+	v.SetElapsed(m.Elapsed)
+	v.SetObjective(m.Objective)
+	v.SetLeft(m.Left)
+	v.SetCovered(m.Covered)
+	v.SetTotal(m.Total)
+	v.SetMinCoverage(m.MinCoverage)
+	return v
+}
+
+// replicaViewForm is the wire form of lagoon.ReplicaView.
+type replicaViewForm struct {
+	Slots    int     `cbor:"1,keyasint,omitempty" json:"slots,omitempty"`
+	Inflight int     `cbor:"2,keyasint,omitempty" json:"inflight,omitempty"`
+	Queued   float64 `cbor:"3,keyasint,omitempty" json:"queued,omitempty"`
+	Slowness float64 `cbor:"4,keyasint,omitempty" json:"slowness,omitempty"`
+	SameZone bool    `cbor:"5,keyasint,omitempty" json:"same_zone,omitempty"`
+	Cold     bool    `cbor:"6,keyasint,omitempty" json:"cold,omitempty"`
+	Leaving  bool    `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
+	Failures int     `cbor:"8,keyasint,omitempty" json:"failures,omitempty"`
+	Noise    float64 `cbor:"9,keyasint,omitempty" json:"noise,omitempty"`
+}
+
+func toReplicaView(v lagoon.ReplicaView) replicaViewForm {
+	return replicaViewForm{
+		Slots:    v.Slots(),
+		Inflight: v.Inflight(),
+		Queued:   v.Queued(),
+		Slowness: v.Slowness(),
+		SameZone: v.SameZone(),
+		Cold:     v.Cold(),
+		Leaving:  v.Leaving(),
+		Failures: v.Failures(),
+		Noise:    v.Noise(),
+	}
+}
+
+func fromReplicaView(m replicaViewForm) lagoon.ReplicaView {
+	var v lagoon.ReplicaView
+	v.SetSlots(m.Slots)
+	v.SetInflight(m.Inflight)
+	v.SetQueued(m.Queued)
+	v.SetSlowness(m.Slowness)
+	v.SetSameZone(m.SameZone)
+	v.SetCold(m.Cold)
+	v.SetLeaving(m.Leaving)
+	v.SetFailures(m.Failures)
+	v.SetNoise(m.Noise)
+	return v
+}
+
 // serverStatusForm is the wire form of lagoon.ServerStatus.
 type serverStatusForm struct {
 	Server    string            `cbor:"1,keyasint,omitempty" json:"server,omitempty"`
@@ -446,6 +746,7 @@
 	Start uint64 `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
 	Addr  string `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
 	Zone  string `cbor:"4,keyasint,omitempty" json:"zone,omitempty"`
+	Front string `cbor:"5,keyasint,omitempty" json:"front,omitempty"`
 }
 
 func toMember(v lagoon.Member) memberForm {
@@ -454,6 +755,7 @@
 		Start: v.Start(),
 		Addr:  v.Addr(),
 		Zone:  v.Zone(),
+		Front: v.Front(),
 	}
 }
 
@@ -463,6 +765,7 @@
 	v.SetStart(m.Start)
 	v.SetAddr(m.Addr)
 	v.SetZone(m.Zone)
+	v.SetFront(m.Front)
 	return v
 }
 
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -23,8 +23,11 @@
 }
 
 // Earn adds the tokens of a number of ordinary requests at a percentage.
-func (t *Tokens) Earn(requests int, percent float64) {
-	t.spent = max(credit-burst, t.spent-float64(requests)*percent/100)
+func (t *Tokens) Earn(requests int, percent float64) { t.EarnUpTo(requests, percent, burst) }
+
+// EarnUpTo is Earn with a bound on the tokens that are saved up.
+func (t *Tokens) EarnUpTo(requests int, percent, most float64) {
+	t.spent = max(credit-most, t.spent-float64(requests)*percent/100)
 }
 
 // Left returns the tokens left.
--- /dev/null
+++ b/pkg/partly/partly.go
@@ -0,0 +1,33 @@
+// Package partly decides when an answer is given that does not cover all
+// shards.
+//
+// # Usage
+//
+//	var p partly.Policy
+//	now, wait := p.Answer(v)
+//
+// Until shortly before the latency objective, missing shards are waited for.
+// After it, an answer is given as soon as it covers enough.
+package partly
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+)
+
+// margin is the time before the objective at which a partial answer is given:
+// the way to the caller and back and some waiting for the processor.
+const margin = 8 * time.Millisecond
+
+// Policy is a lagoon.PartialPolicy. The zero value works; it has no state.
+type Policy struct{}
+
+// Answer returns whether to answer now with the shards covered so far.
+func (Policy) Answer(v lagoon.PartialView) (bool, time.Duration) {
+	until := v.Objective() - margin - v.Elapsed()
+	if until <= 0 {
+		return true, 0
+	}
+	return false, until
+}
--- /dev/null
+++ b/pkg/prefer/prefer.go
@@ -0,0 +1,48 @@
+// Package prefer rates the replicas that could take a request.
+//
+// # Usage
+//
+//	var p prefer.Policy
+//	cost := p.Cost(v)   // the replica with the lowest cost is taken
+//
+// The cost of a replica is the time that its answer is expected to take,
+// relative to an idle replica of usual speed: its slowness, times the turns
+// before a slot is free. Replicas in other availability zones cost more, since
+// the way is longer and the bytes are paid for.
+package prefer
+
+import "github.com/lagoontrail/lagoon"
+
+// Factors of the cost.
+const (
+	leastSlowness = 0.3  // bounds how far a few quick answers may draw requests
+	partLoad      = 0.25 // of the share of slots in use; servers slow down as they fill
+	otherZone     = 1.2  // bytes between zones cost about a sixth of an answer's worth
+	coldServer    = 1.6  // a server that has just started is slower by about this
+	failure       = 1.0  // for each failure in a row
+	noise         = 0.1  // keeps nodes with like views from choosing alike
+	lastResort    = 1000 // over all other costs
+)
+
+// Policy is a lagoon.ReplicaPolicy. The zero value works; it has no state.
+type Policy struct{}
+
+// Cost returns the cost of sending a request to a replica.
+func (Policy) Cost(v lagoon.ReplicaView) float64 {
+	slots := float64(max(v.Slots(), 1))
+	load := float64(v.Inflight()) + v.Queued()
+	turns := 1 + max(0, load+1-slots)/slots
+	cost := max(v.Slowness(), leastSlowness) * (turns + partLoad*load/slots)
+	if !v.SameZone() {
+		cost *= otherZone
+	}
+	if v.Cold() {
+		cost *= coldServer
+	}
+	cost *= 1 + failure*float64(v.Failures())
+	cost *= 1 + noise*v.Noise()
+	if v.Leaving() {
+		cost += lastResort
+	}
+	return cost
+}
--- a/values.go
+++ b/values.go
@@ -24,6 +24,7 @@
 	start uint64 // the start id, larger after each start of the node
 	addr  string // the address and port of the node
 	zone  string // the availability zone
+	front string // the address and port that callers connect to; empty when it is addr
 }
 
 // Assignment says which node owns a server.
