Let a few nodes follow the store for all, and test the traffic systems

Change: three hubs, spread over the availability zones, watch the store and feed the others over WebSocket with CBOR; feeds are numbered, so a node notices one that it missed and asks the store itself, as it does when no hub was heard for 1.2 s. Heartbeats go to and from hubs only. The registry interface is now read and watch; the waiting is decided by control. The traffic systems have tests that replay loads in virtual time, and the shape tests cover the adapter.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -226,6 +226,18 @@
 // SetFull sets whether it replaces all that was told of the topic before.
 func (v *News) SetFull(x bool) { v.full = x }
 
+// Previous returns the registry's revision from which on it is complete, unless it is full.
+func (v News) Previous() uint64 { return v.previous }
+
+// SetPrevious sets the registry's revision from which on it is complete, unless it is full.
+func (v *News) SetPrevious(x uint64) { v.previous = x }
+
+// Revision returns the registry's revision up to which it is complete.
+func (v News) Revision() uint64 { return v.revision }
+
+// SetRevision sets the registry's revision up to which it is complete.
+func (v *News) SetRevision(x uint64) { v.revision = x }
+
 // Catalog returns for TopicCatalog, the newest catalog.
 func (v News) Catalog() Catalog { return v.catalog }
 
@@ -250,18 +262,12 @@
 // SetMembers sets for TopicMembers, the nodes announced or changed.
 func (v *News) SetMembers(x []Member) { v.members = x }
 
-// Removed returns the ids or names whose announcement is gone.
+// Removed returns the ids or names that are gone.
 func (v News) Removed() []string { return v.removed }
 
-// SetRemoved sets the ids or names whose announcement is gone.
+// SetRemoved sets the ids or names that are gone.
 func (v *News) SetRemoved(x []string) { v.removed = x }
 
-// Detail returns for TopicLost, the cause.
-func (v News) Detail() string { return v.detail }
-
-// SetDetail sets for TopicLost, the cause.
-func (v *News) SetDetail(x string) { v.detail = x }
-
 // ID returns the request id, unique for each attempt of a caller.
 func (v Ask) ID() string { return v.id }
 
@@ -640,6 +646,72 @@
 // SetStatuses sets changes in the status of servers the sender owns.
 func (v *Beat) SetStatuses(x []ServerStatus) { v.statuses = x }
 
+// Hub returns whether the sender follows the registry for others.
+func (v Beat) Hub() bool { return v.hub }
+
+// SetHub sets whether the sender follows the registry for others.
+func (v *Beat) SetHub(x bool) { v.hub = x }
+
+// Feeds returns the number of feeds that the sender has sent since its start.
+func (v Beat) Feeds() uint64 { return v.feeds }
+
+// SetFeeds sets the number of feeds that the sender has sent since its start.
+func (v *Beat) SetFeeds(x uint64) { v.feeds = x }
+
+// Ages returns for a hub, how old its knowledge is.
+func (v Beat) Ages() []FeedAge { return v.ages }
+
+// SetAges sets for a hub, how old its knowledge is.
+func (v *Beat) SetAges(x []FeedAge) { v.ages = x }
+
+// Listing returns whether live is set.
+func (v Beat) Listing() bool { return v.listing }
+
+// SetListing sets whether live is set.
+func (v *Beat) SetListing(x bool) { v.listing = x }
+
+// Live returns for a hub, the names of the nodes that take requests.
+func (v Beat) Live() []string { return v.live }
+
+// SetLive sets for a hub, the names of the nodes that take requests.
+func (v *Beat) SetLive(x []string) { v.live = x }
+
+// Topic returns the topic.
+func (v FeedAge) Topic() Topic { return v.topic }
+
+// SetTopic sets the topic.
+func (v *FeedAge) SetTopic(x Topic) { v.topic = x }
+
+// Age returns the time since the registry confirmed it.
+func (v FeedAge) Age() time.Duration { return v.age }
+
+// SetAge sets the time since the registry confirmed it.
+func (v *FeedAge) SetAge(x time.Duration) { v.age = x }
+
+// From returns the hub's name.
+func (v Feed) From() string { return v.from }
+
+// SetFrom sets the hub's name.
+func (v *Feed) SetFrom(x string) { v.from = x }
+
+// Start returns the hub's start id.
+func (v Feed) Start() uint64 { return v.start }
+
+// SetStart sets the hub's start id.
+func (v *Feed) SetStart(x uint64) { v.start = x }
+
+// Feeds returns the number of this feed since the hub's start.
+func (v Feed) Feeds() uint64 { return v.feeds }
+
+// SetFeeds sets the number of this feed since the hub's start.
+func (v *Feed) SetFeeds(x uint64) { v.feeds = x }
+
+// News returns what it learnt.
+func (v Feed) News() News { return v.news }
+
+// SetNews sets what it learnt.
+func (v *Feed) SetNews(x News) { v.news = x }
+
 // Config returns the configuration.
 func (v ConfigPush) Config() Config { return v.config }
 
--- a/direct.go
+++ b/direct.go
@@ -63,16 +63,17 @@
 	revision uint64        // the revision of the platform's store that holds the announcement
 }
 
-// News is one change that a Registry tells.
+// News is what a Registry holds of one topic, or what changed of it.
 type News struct {
 	topic    Topic     // what the news is about
 	full     bool      // whether it replaces all that was told of the topic before
+	previous uint64    // the registry's revision from which on it is complete, unless it is full
+	revision uint64    // the registry's revision up to which it is complete
 	catalog  Catalog   // for TopicCatalog, the newest catalog
 	replicas []Replica // for TopicReplicas, the replicas announced or changed
 	zones    []string  // for TopicZones, the availability zones taken out
 	members  []Member  // for TopicMembers, the nodes announced or changed
-	removed  []string  // the ids or names whose announcement is gone
-	detail   string    // for TopicLost, the cause
+	removed  []string  // the ids or names that are gone
 }
 
 // Ask is one request of a caller, to be routed.
--- a/enums.go
+++ b/enums.go
@@ -7,6 +7,7 @@
 	ErrAbsent      = errors.New("object is absent")
 	ErrConflict    = errors.New("object has another version")
 	ErrUnavailable = errors.New("platform gave no answer")
+	ErrHistory     = errors.New("history is gone")
 )
 
 // Status says how a call or a leg ended.
@@ -90,10 +91,20 @@
 	TopicReplicas              // servers
 	TopicZones                 // availability zones taken out
 	TopicMembers               // nodes
-	TopicLost                  // the registry does not answer
-	TopicRegained              // the registry answers again
 )
 
+// Topics lists all topics.
+var Topics = [...]Topic{TopicCatalog, TopicReplicas, TopicZones, TopicMembers}
+
+// String returns the topic in snake case.
+func (t Topic) String() string {
+	names := [...]string{"catalog", "replicas", "zones", "members"}
+	if int(t) >= len(names) {
+		return "invalid"
+	}
+	return names[t]
+}
+
 // End says how a routed request ends.
 type End uint8
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -73,8 +73,8 @@
 }
 
 // Message is one of the message types of this package that nodes exchange:
-// Beat, ConfigPush, PlacementPush, LegBatch, LegResults, LegCancel, ClaimAsk
-// and ClaimTold, each passed by pointer.
+// Beat, ConfigPush, PlacementPush, LegBatch, LegResults, LegCancel, ClaimAsk,
+// ClaimTold and Feed, each passed by pointer.
 type Message interface{}
 
 // PeerLink carries messages to other nodes. Send queues the message and
@@ -120,11 +120,14 @@
 	Note(d Decision)
 }
 
-// Registry tells what operators declared and which servers and nodes there are.
+// Registry holds what operators declared and which servers and nodes there are.
 type Registry interface {
-	// Follow calls tell with all there is and then with each change, until ctx
-	// ends. tell may wait.
-	Follow(ctx context.Context, tell func(News)) error
+	// Read returns all that there is of a topic.
+	Read(ctx context.Context, topic Topic) (News, error)
+	// Watch returns what changed of a topic after a revision, without content
+	// when nothing changed within wait. It returns ErrHistory, wrapped, when the
+	// registry no longer knows what changed.
+	Watch(ctx context.Context, topic Topic, after uint64, wait time.Duration) (News, error)
 	// Announce makes this node known to the others.
 	Announce(ctx context.Context, self Member) error
 }
--- a/internal/direct/board/accessors_gen.go
+++ b/internal/direct/board/accessors_gen.go
@@ -7,6 +7,24 @@
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/sight"
 
+// Topic returns the topic.
+func (v *Pulled) Topic() lagoon.Topic { return v.topic }
+
+// SetTopic sets the topic.
+func (v *Pulled) SetTopic(x lagoon.Topic) { v.topic = x }
+
+// News returns the answer.
+func (v *Pulled) News() lagoon.News { return v.news }
+
+// SetNews sets the answer.
+func (v *Pulled) SetNews(x lagoon.News) { v.news = x }
+
+// Err returns the failure, if it failed.
+func (v *Pulled) Err() error { return v.err }
+
+// SetErr sets the failure, if it failed.
+func (v *Pulled) SetErr(x error) { v.err = x }
+
 // Self returns this node.
 func (v *Board) Self() lagoon.Member { return v.self }
 
@@ -61,12 +79,42 @@
 // SetListed sets whether the servers are known.
 func (v *Board) SetListed(x bool) { v.listed = x }
 
-// Reachable returns whether the registry answers.
+// Registry returns tells what is declared and announced.
+func (v *Board) Registry() lagoon.Registry { return v.registry }
+
+// SetRegistry sets tells what is declared and announced.
+func (v *Board) SetRegistry(x lagoon.Registry) { v.registry = x }
+
+// Reachable returns whether the registry answers, as far as is known.
 func (v *Board) Reachable() bool { return v.reachable }
 
-// SetReachable sets whether the registry answers.
+// SetReachable sets whether the registry answers, as far as is known.
 func (v *Board) SetReachable(x bool) { v.reachable = x }
 
+// Hub returns whether this node follows the registry for others.
+func (v *Board) Hub() bool { return v.hub }
+
+// SetHub sets whether this node follows the registry for others.
+func (v *Board) SetHub(x bool) { v.hub = x }
+
+// Sent returns the feeds sent since the start.
+func (v *Board) Sent() uint64 { return v.sent }
+
+// SetSent sets the feeds sent since the start.
+func (v *Board) SetSent(x uint64) { v.sent = x }
+
+// RosterAt returns when the live nodes were last told to all.
+func (v *Board) RosterAt() time.Duration { return v.rosterAt }
+
+// SetRosterAt sets when the live nodes were last told to all.
+func (v *Board) SetRosterAt(x time.Duration) { v.rosterAt = x }
+
+// Listing returns whether the live nodes changed since.
+func (v *Board) Listing() bool { return v.listing }
+
+// SetListing sets whether the live nodes changed since.
+func (v *Board) SetListing(x bool) { v.listing = x }
+
 // ZonesOut returns the availability zones taken out.
 func (v *Board) ZonesOut() map[string]bool { return v.zonesOut }
 
@@ -91,11 +139,23 @@
 // SetBeatAt sets when the last heartbeats were sent.
 func (v *Board) SetBeatAt(x time.Duration) { v.beatAt = x }
 
-// News returns what the registry told in this tick.
-func (v *Board) News() []lagoon.News { return v.news }
+// Pulled returns what the registry answered in this tick.
+func (v *Board) Pulled() []Pulled { return v.pulled }
+
+// SetPulled sets what the registry answered in this tick.
+func (v *Board) SetPulled(x []Pulled) { v.pulled = x }
+
+// Fed returns what hubs told in this tick.
+func (v *Board) Fed() []*lagoon.Feed { return v.fed }
+
+// SetFed sets what hubs told in this tick.
+func (v *Board) SetFed(x []*lagoon.Feed) { v.fed = x }
+
+// Spread returns what this node learnt from the registry in this tick.
+func (v *Board) Spread() []lagoon.News { return v.spread }
 
-// SetNews sets what the registry told in this tick.
-func (v *Board) SetNews(x []lagoon.News) { v.news = x }
+// SetSpread sets what this node learnt from the registry in this tick.
+func (v *Board) SetSpread(x []lagoon.News) { v.spread = x }
 
 // Beats returns the heartbeats that arrived in this tick.
 func (v *Board) Beats() []*lagoon.Beat { return v.beats }
--- a/internal/direct/board/board.go
+++ b/internal/direct/board/board.go
@@ -3,7 +3,8 @@
 //
 // # Usage
 //
-//	b := board.New(box)
+//	b, stop := board.New(box)
+//	defer stop()                 // waits for calls to the registry to end
 //	b.SetSelf(member)            // and the other collaborators
 //	b.SetSystems(ctl.Systems())
 //	err := b.Run(ctx)
@@ -14,10 +15,12 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/feeds"
 	"github.com/lagoontrail/lagoon/internal/direct/mates"
 	"github.com/lagoontrail/lagoon/internal/direct/seen"
 	"github.com/lagoontrail/lagoon/internal/direct/sight"
@@ -31,6 +34,13 @@
 // server that is gone or a node that is silent leaves the view.
 const Period = 100 * time.Millisecond
 
+// Pulled is the answer of the registry to one call.
+type Pulled struct {
+	topic lagoon.Topic // the topic
+	news  lagoon.News  // the answer
+	err   error        // the failure, if it failed
+}
+
 // Board owns the control tables of one node.
 type Board struct {
 	self      lagoon.Member               // this node
@@ -42,21 +52,58 @@
 	catalog   lagoon.Catalog              // the declarations in use
 	adopted   bool                        // whether the declarations are known
 	listed    bool                        // whether the servers are known
-	reachable bool                        // whether the registry answers
+	registry  lagoon.Registry             // tells what is declared and announced
+	reachable bool                        // whether the registry answers, as far as is known
+	hub       bool                        // whether this node follows the registry for others
+	sent      uint64                      // the feeds sent since the start
+	rosterAt  time.Duration               // when the live nodes were last told to all
+	listing   bool                        // whether the live nodes changed since
 	zonesOut  map[string]bool             // the availability zones taken out
 	stopping  bool                        // whether the node is stopping
 	touched   bool                        // whether the next view differs
 	beatAt    time.Duration               // when the last heartbeats were sent
-	news      []lagoon.News               // what the registry told in this tick
+	pulled    []Pulled                    // what the registry answered in this tick
+	fed       []*lagoon.Feed              // what hubs told in this tick
+	spread    []lagoon.News               // what this node learnt from the registry in this tick
 	beats     []*lagoon.Beat              // the heartbeats that arrived in this tick
 
 	box     *mbox.Box
 	servers rows.Table[seen.Row]
 	nodes   rows.Table[mates.Row]
+	feeds   rows.Table[feeds.Row]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// New returns a board that receives through box. The clean-up function breaks
+// off the calls that still run and waits for them; call it after Run has
+// returned.
+func New(box *mbox.Box) (*Board, func()) {
+	b := &Board{box: box}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	for _, topic := range lagoon.Topics {
+		b.feeds.Ensure(topic.String()).SetTopic(topic)
+	}
+	return b, func() {
+		b.cancel()
+		b.tasks.Wait()
+	}
 }
 
-// New returns a board that receives through box.
-func New(box *mbox.Box) *Board { return &Board{box: box} }
+// Feeds returns the table of topics.
+func (b *Board) Feeds() *rows.Table[feeds.Row] { return &b.feeds }
+
+// Call asks the registry on another goroutine; the answer arrives as Pulled.
+func (b *Board) Call(topic lagoon.Topic, call func(ctx context.Context) (lagoon.News, error)) {
+	b.tasks.Add(1)
+	go func() {
+		defer b.tasks.Done()
+		p := Pulled{topic: topic}
+		p.news, p.err = call(b.ctx)
+		_ = b.box.Post(b.ctx, p) // fails only when control has stopped
+	}()
+}
 
 // Servers returns the table of announced servers.
 func (b *Board) Servers() *rows.Table[seen.Row] { return &b.servers }
@@ -78,8 +125,10 @@
 func (b *Board) Tick(items []any) {
 	for _, m := range items {
 		switch m := m.(type) {
-		case lagoon.News:
-			b.news = append(b.news, m)
+		case Pulled:
+			b.pulled = append(b.pulled, m)
+		case *lagoon.Feed:
+			b.fed = append(b.fed, m)
 		case *lagoon.Beat:
 			b.beats = append(b.beats, m)
 		case func(*Board):
@@ -90,7 +139,7 @@
 	for _, s := range b.systems {
 		s.Run(b, now)
 	}
-	b.news, b.beats = nil, nil
+	b.pulled, b.fed, b.spread, b.beats = nil, nil, nil, nil
 }
 
 // Note writes a change of belief to the journal.
--- a/internal/direct/ctl/ctl.go
+++ b/internal/direct/ctl/ctl.go
@@ -12,6 +12,8 @@
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/fade"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/learn"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/pull"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/push"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/show"
 )
 
@@ -19,7 +21,9 @@
 func Systems() []lagoon.System[*board.Board] {
 	return []lagoon.System[*board.Board]{
 		learn.System{},
+		push.System{},
 		beats.System{},
+		pull.System{},
 		fade.System{},
 		show.System{},
 	}
--- a/internal/direct/ctl/fade/fade.go
+++ b/internal/direct/ctl/fade/fade.go
@@ -18,10 +18,10 @@
 )
 
 // LastResort is the time for which a server that is leaving or whose
-// announcement is gone still gets requests that no other server can take. It is
-// under the shortest time that servers serve on, 3 s, by what the news and an
-// attempt take; announcements lost in an outage return within 2 s.
-const LastResort = 2200 * time.Millisecond
+// announcement is gone still gets requests that no other server can take.
+// Announcements lost in an outage return within 2 s, and servers serve on for 3 s
+// at least, of which the news may take most of the rest.
+const LastResort = 2100 * time.Millisecond
 
 // System drops servers.
 type System struct{}
--- a/internal/direct/ctl/learn/learn.go
+++ b/internal/direct/ctl/learn/learn.go
@@ -4,16 +4,28 @@
 //
 //	systems = append(systems, learn.System{})
 //
-// Every change of belief is noted with the revision that it rests on.
+// Every change of belief is noted with the revision that it rests on. A feed of
+// a hub is used only if nothing between it and what is known was missed.
 package learn
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/board"
+	"github.com/lagoontrail/lagoon/internal/direct/feeds"
+)
+
+// Pauses after failed calls to the registry.
+const (
+	firstRetry = 150 * time.Millisecond // doubled each time
+	mostRetry  = 800 * time.Millisecond // a registry that is back is noticed within a second
 )
 
 // System takes the news in.
@@ -22,29 +34,115 @@
 // Name returns the system's name.
 func (System) Name() string { return "learn" }
 
-// Run takes the news of this tick in.
+// Run takes in what the registry answered and what hubs told.
 func (System) Run(b *board.Board, now time.Duration) {
-	for _, n := range b.News() {
-		switch n.Topic() {
-		case lagoon.TopicCatalog:
-			adopt(b, n.Catalog())
-		case lagoon.TopicReplicas:
-			takeReplicas(b, n, now)
-		case lagoon.TopicZones:
-			takeZones(b, n)
-		case lagoon.TopicMembers:
-			takeMembers(b, n)
-		case lagoon.TopicLost:
-			reach(b, false, "registry_lost", n.Detail())
-		case lagoon.TopicRegained:
-			reach(b, true, "registry_regained", "it answers again")
+	for _, p := range b.Pulled() {
+		row, ok := b.Feeds().Find(p.Topic().String())
+		if !ok {
+			continue
+		}
+		row.SetCalling(false)
+		if err := p.Err(); err != nil {
+			failed(b, row, err, now)
+			continue
 		}
+		answered(b, row, p.News(), now)
+	}
+	for _, m := range b.Fed() {
+		fed(b, m, now)
+	}
+}
+
+// failed notes a failed call and when the registry is asked again.
+func failed(b *board.Board, row *feeds.Row, err error, now time.Duration) {
+	if errors.Is(err, lagoon.ErrHistory) {
+		row.SetListed(false)
+		row.SetCheck(true)
+		b.Note("history_gone", row.Topic().String(), fmt.Sprintf("nothing is known of the time after revision %d; reading all anew", row.Revision()))
+		return
+	}
+	row.SetFailures(row.Failures() + 1)
+	retry := min(firstRetry<<min(row.Failures()-1, 4), mostRetry)
+	row.SetRetryAt(now + retry)
+	if b.Reachable() {
+		b.SetReachable(false)
+		b.SetTouched(true)
+		b.Note("registry_lost", row.Topic().String(), err.Error())
+	}
+}
+
+// answered takes an answer of the registry in.
+func answered(b *board.Board, row *feeds.Row, n lagoon.News, now time.Duration) {
+	row.SetFailures(0)
+	row.SetRetryAt(0)
+	row.SetCheck(false)
+	row.SetConfirmed(now)
+	if !b.Reachable() {
+		b.SetReachable(true)
+		b.SetTouched(true)
+		b.Note("registry_regained", row.Topic().String(), fmt.Sprintf("it answers again, at revision %d", n.Revision()))
+	}
+	if n.Revision() < row.Revision() {
+		return // a hub told more in the meantime
+	}
+	if n.Full() || !Empty(n) {
+		apply(b, n, now)
+	}
+	if !Empty(n) && row.Revision() > 0 { // at its start each node reads all by itself
+		b.SetSpread(append(b.Spread(), n))
+	}
+	row.SetRevision(n.Revision())
+	row.SetListed(true)
+}
+
+// fed takes news of a hub in, unless something before it was missed.
+func fed(b *board.Board, m *lagoon.Feed, now time.Duration) {
+	hub, ok := b.Nodes().Find(m.From())
+	if !ok || hub.Member().Start() != m.Start() {
+		return // its heartbeat makes it known first
+	}
+	n := m.News()
+	row, ok := b.Feeds().Find(n.Topic().String())
+	if !ok {
+		return
+	}
+	hub.SetFeeds(hub.Feeds() + 1)
+	switch {
+	case n.Revision() <= row.Revision():
+		return
+	case !n.Full() && (!row.Listed() || n.Previous() > row.Revision()):
+		row.SetCheck(true)
+		return
+	}
+	apply(b, n, now)
+	row.SetRevision(n.Revision())
+	row.SetListed(true)
+	row.SetConfirmed(now)
+}
+
+// Empty reports whether news say only that nothing changed.
+func Empty(n lagoon.News) bool {
+	catalog := n.Catalog()
+	return catalog.Revision() == 0 && len(n.Replicas())+len(n.Zones())+len(n.Members())+len(n.Removed()) == 0
+}
+
+func apply(b *board.Board, n lagoon.News, now time.Duration) {
+	switch n.Topic() {
+	case lagoon.TopicCatalog:
+		adopt(b, n.Catalog())
+	case lagoon.TopicReplicas:
+		takeReplicas(b, n, now)
+	case lagoon.TopicZones:
+		takeZones(b, n)
+	case lagoon.TopicMembers:
+		takeMembers(b, n, now)
 	}
 }
 
 // adopt replaces the catalog by a newer one.
 func adopt(b *board.Board, c lagoon.Catalog) {
-	if b.Adopted() && c.Revision() <= b.Catalog().Revision() {
+	current := b.Catalog()
+	if c.Revision() == 0 || (b.Adopted() && c.Revision() <= current.Revision()) {
 		return
 	}
 	b.SetCatalog(c)
@@ -112,22 +210,34 @@
 
 func takeZones(b *board.Board, n lagoon.News) {
 	out := map[string]bool{}
+	if !n.Full() {
+		maps.Copy(out, b.ZonesOut())
+	}
 	for _, z := range n.Zones() {
 		out[z] = true
 	}
+	for _, z := range n.Removed() {
+		delete(out, z)
+	}
+	if maps.Equal(out, b.ZonesOut()) {
+		return
+	}
 	b.SetZonesOut(out)
 	b.SetTouched(true)
-	b.Note("zones_out", strings.Join(n.Zones(), ","), "the availability zones that operators have taken out now")
+	names := slices.Sorted(maps.Keys(out))
+	b.Note("zones_out", strings.Join(names, ","), fmt.Sprintf("the availability zones that operators have taken out now, at revision %d", n.Revision()))
 }
 
-func takeMembers(b *board.Board, n lagoon.News) {
+func takeMembers(b *board.Board, n lagoon.News, now time.Duration) {
 	for _, m := range n.Members() {
 		if m.Name() == b.Self().Name() {
 			continue
 		}
 		row := b.Nodes().Ensure(m.Name())
-		if m.Start() >= row.Member().Start() {
+		if m.Start() > row.Member().Start() {
 			row.SetMember(m)
+			row.SetKnown(now)
+			row.SetFeeds(0)
 		}
 	}
 	for _, name := range n.Removed() {
@@ -135,13 +245,3 @@
 	}
 	b.SetTouched(true)
 }
-
-// reach notes that the registry stopped or began to answer.
-func reach(b *board.Board, up bool, kind, reason string) {
-	if b.Reachable() == up {
-		return
-	}
-	b.SetReachable(up)
-	b.SetTouched(true)
-	b.Note(kind, "registry", reason)
-}
--- a/internal/direct/ctl/show/show.go
+++ b/internal/direct/ctl/show/show.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/board"
+	"github.com/lagoontrail/lagoon/internal/direct/ctl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/fade"
 	"github.com/lagoontrail/lagoon/internal/direct/sight"
 )
@@ -35,7 +36,7 @@
 	v.SetStopping(b.Stopping())
 	showCatalog(b, v)
 	showServers(b, v, now)
-	showNodes(b, v)
+	showNodes(b, v, now)
 	b.Current().Store(v)
 }
 
@@ -88,16 +89,21 @@
 
 // showNodes lists the live nodes that take requests, and counts those that may
 // be running for the shares of common bounds.
-func showNodes(b *board.Board, v *sight.View) {
+func showNodes(b *board.Board, v *sight.View, now time.Duration) {
 	var members []lagoon.Member
 	if !b.Stopping() {
 		members = append(members, b.Self())
 	}
+	nodes := 1
 	for i := range b.Nodes().Len() {
-		if row := b.Nodes().At(i); row.Live() {
+		row := b.Nodes().At(i)
+		if row.Live() {
 			members = append(members, row.Member())
 		}
+		if beats.Counts(row, now) {
+			nodes++
+		}
 	}
 	v.SetMembers(members)
-	v.SetNodes(b.Nodes().Len() + 1)
+	v.SetNodes(nodes)
 }
--- a/internal/direct/drive/drive.go
+++ b/internal/direct/drive/drive.go
@@ -65,10 +65,13 @@
 func New() (*Drive, func()) {
 	d := &Drive{boardBox: mbox.New(boardBox), flowBox: mbox.New(flowBox)}
 	d.current.Store(&sight.View{})
-	d.board = board.New(d.boardBox)
-	f, stop := flow.New(d.flowBox)
-	d.flow = f
-	return d, stop
+	b, stopBoard := board.New(d.boardBox)
+	f, stopFlow := flow.New(d.flowBox)
+	d.board, d.flow = b, f
+	return d, func() {
+		stopFlow()
+		stopBoard()
+	}
 }
 
 // Current returns where the node's views are published.
@@ -95,9 +98,6 @@
 	tree := suture.NewSimple("node")
 	tree.Add(service{"control", d.board.Run})
 	tree.Add(service{"traffic", d.flow.Run})
-	tree.Add(service{"registry", func(ctx context.Context) error {
-		return d.registry.Follow(ctx, func(n lagoon.News) { d.tell(ctx, n) })
-	}})
 	tree.Add(service{"announcement", func(ctx context.Context) error {
 		if err := d.registry.Announce(ctx, d.self); err != nil {
 			return err
@@ -111,6 +111,7 @@
 func (d *Drive) assemble() {
 	d.board.SetSelf(d.self)
 	d.board.SetClock(d.clock)
+	d.board.SetRegistry(d.registry)
 	d.board.SetLink(d.link)
 	d.board.SetJournal(d.journal)
 	d.board.SetCurrent(&d.current)
@@ -128,14 +129,11 @@
 	d.flow.SetSystems(sys.Systems())
 }
 
-func (d *Drive) tell(ctx context.Context, n lagoon.News) {
-	_ = d.boardBox.Post(ctx, n) // fails only when the node stops
-}
-
 // Receive takes a message of another node.
 func (d *Drive) Receive(ctx context.Context, m lagoon.Message) {
-	if beat, ok := m.(*lagoon.Beat); ok {
-		_ = d.boardBox.Post(ctx, beat) // fails only when the node stops
+	switch m.(type) {
+	case *lagoon.Beat, *lagoon.Feed:
+		_ = d.boardBox.Post(ctx, m) // fails only when the node stops
 	}
 }
 
--- a/internal/direct/flow/accessors_gen.go
+++ b/internal/direct/flow/accessors_gen.go
@@ -2,6 +2,7 @@
 
 package flow
 
+import "context"
 import "sync/atomic"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/sight"
@@ -66,6 +67,14 @@
 // SetExtraSlack sets extra attempts allowed at a service by all nodes in a window beyond that share.
 func (v *Flow) SetExtraSlack(x float64) { v.extraSlack = x }
 
+// Runner returns starts an attempt; nil starts it on a goroutine of its own.
+func (v *Flow) Runner() func(send lagoon.RowID, a lagoon.Attempt) context.CancelFunc { return v.runner }
+
+// SetRunner sets starts an attempt; nil starts it on a goroutine of its own.
+func (v *Flow) SetRunner(x func(send lagoon.RowID, a lagoon.Attempt) context.CancelFunc) {
+	v.runner = x
+}
+
 // View returns what is in force in this tick.
 func (v *Flow) View() *sight.View { return v.view }
 
--- a/internal/direct/flow/flow.go
+++ b/internal/direct/flow/flow.go
@@ -52,6 +52,7 @@
 	systems    []lagoon.System[*Flow]      // the systems, in the order they run
 	extraRatio float64                     // extra attempts allowed at a service by all nodes, as a share of its requests
 	extraSlack float64                     // extra attempts allowed at a service by all nodes in a window beyond that share
+	runner     func(send lagoon.RowID, a lagoon.Attempt) context.CancelFunc // starts an attempt; nil starts it on a goroutine of its own
 	view       *sight.View                 // what is in force in this tick
 
 	fresh    []lagoon.RowID                        // the requests that arrived in this tick
@@ -83,6 +84,11 @@
 	took    time.Duration
 }
 
+// Ended is the message that an attempt ended after a time.
+func Ended(send lagoon.RowID, v lagoon.Verdict, took time.Duration) any {
+	return &ended{send: send, verdict: v, took: took}
+}
+
 // Gone is the message that a caller went away; it names the request by where
 // its ruling goes.
 func Gone(reply chan<- lagoon.Ruling) any { return gone{reply} }
@@ -148,9 +154,12 @@
 	return ctx.Err()
 }
 
+// NextDue returns the nearest due time, or false when there is none.
+func (f *Flow) NextDue() (time.Duration, bool) { return f.due.Next() }
+
 // wait returns how long the flow may sleep.
 func (f *Flow) wait() time.Duration {
-	next, ok := f.due.Next()
+	next, ok := f.NextDue()
 	if !ok {
 		return idleWait
 	}
@@ -214,6 +223,10 @@
 // Launch starts an attempt on a goroutine of its own, which reports the end to
 // the mailbox.
 func (f *Flow) Launch(id lagoon.RowID, s *sends.Row, a lagoon.Attempt) {
+	if f.runner != nil {
+		s.SetStop(f.runner(id, a))
+		return
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, a.Timeout())
 	s.SetStop(cancel)
 	f.running.Add(1)
@@ -222,7 +235,7 @@
 		defer cancel()
 		began := f.clock.Now()
 		v := f.exchange.Do(ctx, a)
-		if err := f.box.Post(f.ctx, &ended{send: id, verdict: v, took: f.clock.Now() - began}); err != nil {
+		if err := f.box.Post(f.ctx, Ended(id, v, f.clock.Now()-began)); err != nil {
 			return // the flow has stopped; nobody waits for the verdict
 		}
 	}()
--- a/internal/direct/mates/accessors_gen.go
+++ b/internal/direct/mates/accessors_gen.go
@@ -11,6 +11,12 @@
 // SetMember sets the newest run of the node.
 func (v *Row) SetMember(x lagoon.Member) { v.member = x }
 
+// Known returns when this run became known.
+func (v *Row) Known() time.Duration { return v.known }
+
+// SetKnown sets when this run became known.
+func (v *Row) SetKnown(x time.Duration) { v.known = x }
+
 // Heard returns when its last heartbeat arrived; 0 for never.
 func (v *Row) Heard() time.Duration { return v.heard }
 
@@ -29,14 +35,32 @@
 // SetLeaving sets whether it is stopping.
 func (v *Row) SetLeaving(x bool) { v.leaving = x }
 
-// Live returns whether it was live in the last view.
+// Live returns whether it counts as live.
 func (v *Row) Live() bool { return v.live }
 
-// SetLive sets whether it was live in the last view.
+// SetLive sets whether it counts as live.
 func (v *Row) SetLive(x bool) { v.live = x }
 
-// Config returns the revision of the catalog that it uses.
-func (v *Row) Config() uint64 { return v.config }
+// LiveAt returns when it last counted as live.
+func (v *Row) LiveAt() time.Duration { return v.liveAt }
+
+// SetLiveAt sets when it last counted as live.
+func (v *Row) SetLiveAt(x time.Duration) { v.liveAt = x }
+
+// Hub returns whether it follows the registry for others.
+func (v *Row) Hub() bool { return v.hub }
+
+// SetHub sets whether it follows the registry for others.
+func (v *Row) SetHub(x bool) { v.hub = x }
+
+// Feeds returns the feeds of this run that arrived.
+func (v *Row) Feeds() uint64 { return v.feeds }
+
+// SetFeeds sets the feeds of this run that arrived.
+func (v *Row) SetFeeds(x uint64) { v.feeds = x }
+
+// Roster returns the nodes that it, as a hub, names as live.
+func (v *Row) Roster() map[string]bool { return v.roster }
 
-// SetConfig sets the revision of the catalog that it uses.
-func (v *Row) SetConfig(x uint64) { v.config = x }
+// SetRoster sets the nodes that it, as a hub, names as live.
+func (v *Row) SetRoster(x map[string]bool) { v.roster = x }
--- a/internal/direct/mates/mates.go
+++ b/internal/direct/mates/mates.go
@@ -16,10 +16,14 @@
 
 // Row is one other node.
 type Row struct {
-	member  lagoon.Member // the newest run of the node
-	heard   time.Duration // when its last heartbeat arrived; 0 for never
-	ready   bool          // whether it takes requests
-	leaving bool          // whether it is stopping
-	live    bool          // whether it was live in the last view
-	config  uint64        // the revision of the catalog that it uses
+	member  lagoon.Member   // the newest run of the node
+	known   time.Duration   // when this run became known
+	heard   time.Duration   // when its last heartbeat arrived; 0 for never
+	ready   bool            // whether it takes requests
+	leaving bool            // whether it is stopping
+	live    bool            // whether it counts as live
+	liveAt  time.Duration   // when it last counted as live
+	hub     bool            // whether it follows the registry for others
+	feeds   uint64          // the feeds of this run that arrived
+	roster  map[string]bool // the nodes that it, as a hub, names as live
 }
--- a/internal/direct/sys/place/place.go
+++ b/internal/direct/sys/place/place.go
@@ -87,7 +87,7 @@
 }
 
 func place(f *flow.Flow, id lagoon.RowID, sh *shards.Row, c *calls.Row, now time.Duration) {
-	replica, found, full := choose(f, sh, c, now)
+	replica, found, full := choose(f, sh, now)
 	switch {
 	case found:
 		start(f, id, sh, c, replica, now)
@@ -108,7 +108,7 @@
 
 // choose returns the best usable server. full reports whether one would be
 // usable if it had room.
-func choose(f *flow.Flow, sh *shards.Row, c *calls.Row, now time.Duration) (best lagoon.Replica, found, full bool) {
+func choose(f *flow.Flow, sh *shards.Row, now time.Duration) (best lagoon.Replica, found, full bool) {
 	view := f.View()
 	servers := view.ServersOf(sh.Service())
 	self := view.Self()
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -51,7 +51,7 @@
 // decides reports whether a file holds decisions, which must not know how
 // messages are encoded or carried.
 func decides(path string) bool {
-	for _, p := range []string{"internal/trfc/", "internal/ctrl/", "internal/lane/", "internal/world/", "internal/view/", "internal/rows/"} {
+	for _, p := range []string{"internal/trfc/", "internal/ctrl/", "internal/lane/", "internal/world/", "internal/view/", "internal/rows/", "internal/direct/"} {
 		if strings.HasPrefix(path, p) {
 			return true
 		}
@@ -60,7 +60,7 @@
 }
 
 func TestDecisionsKnowNoEncoding(t *testing.T) {
-	forbidden := []string{"encoding/", "net", "github.com/fxamacker/cbor", "github.com/coder/websocket", module + "/internal/wire", module + "/internal/plink", module + "/internal/htapi", module + "/internal/htup", module + "/internal/htplat"}
+	forbidden := []string{"encoding/", "net", "github.com/fxamacker/cbor", "github.com/coder/websocket", module + "/internal/wire", module + "/internal/plink", module + "/internal/htapi", module + "/internal/htup", module + "/internal/htplat", module + "/platform"}
 	for _, s := range sources(t) {
 		if !decides(s.path) {
 			continue
@@ -131,3 +131,33 @@
 		})
 	}
 }
+
+// Only the command line knows the adapter; the adapter knows the product.
+func TestAdapterIsOneFolder(t *testing.T) {
+	for _, s := range sources(t) {
+		if strings.HasPrefix(s.path, "platform/") || strings.HasPrefix(s.path, "internal/cmds/") {
+			continue
+		}
+		for _, im := range imports(s) {
+			if im == module+"/platform" || strings.HasPrefix(im, module+"/platform/") {
+				t.Errorf("%s: got an import of %s, want it only in the command line", s.path, im)
+			}
+		}
+	}
+}
+
+// The platform's names on the wire are decoded in the adapter alone.
+func TestPlatformNamesStayInAdapter(t *testing.T) {
+	names := []string{"callSeq", "warmupLeftMs", "maxConcurrency", "Part-Stamps", "Missing-Parts", "Server-Stamp", "Expect-Instance", "storeRevision", "minCoverage", "pathPrefix", "Deadline-Ms", "Not-Run", "Server-Load", "hasMore", "waitMs", "evacuations"}
+	for _, s := range sources(t) {
+		if strings.HasPrefix(s.path, "platform/") {
+			continue
+		}
+		text := page(t, s.path)
+		for _, name := range names {
+			if strings.Contains(text, `"`+name+`"`) {
+				t.Errorf("%s: got the platform's name %s, want it only in platform/", s.path, name)
+			}
+		}
+	}
+}
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -198,24 +198,26 @@
 type newsForm struct {
 	Topic    lagoon.Topic  `cbor:"1,keyasint,omitempty" json:"topic,omitempty"`
 	Full     bool          `cbor:"2,keyasint,omitempty" json:"full,omitempty"`
-	Catalog  catalogForm   `cbor:"3,keyasint,omitempty" json:"catalog,omitempty"`
-	Replicas []replicaForm `cbor:"4,keyasint,omitempty" json:"replicas,omitempty"`
-	Zones    []string      `cbor:"5,keyasint,omitempty" json:"zones,omitempty"`
-	Members  []memberForm  `cbor:"6,keyasint,omitempty" json:"members,omitempty"`
-	Removed  []string      `cbor:"7,keyasint,omitempty" json:"removed,omitempty"`
-	Detail   string        `cbor:"8,keyasint,omitempty" json:"detail,omitempty"`
+	Previous uint64        `cbor:"3,keyasint,omitempty" json:"previous,omitempty"`
+	Revision uint64        `cbor:"4,keyasint,omitempty" json:"revision,omitempty"`
+	Catalog  catalogForm   `cbor:"5,keyasint,omitempty" json:"catalog,omitempty"`
+	Replicas []replicaForm `cbor:"6,keyasint,omitempty" json:"replicas,omitempty"`
+	Zones    []string      `cbor:"7,keyasint,omitempty" json:"zones,omitempty"`
+	Members  []memberForm  `cbor:"8,keyasint,omitempty" json:"members,omitempty"`
+	Removed  []string      `cbor:"9,keyasint,omitempty" json:"removed,omitempty"`
 }
 
 func toNews(v lagoon.News) newsForm {
 	return newsForm{
 		Topic:    v.Topic(),
 		Full:     v.Full(),
+		Previous: v.Previous(),
+		Revision: v.Revision(),
 		Catalog:  toCatalog(v.Catalog()),
 		Replicas: each(v.Replicas(), toReplica),
 		Zones:    v.Zones(),
 		Members:  each(v.Members(), toMember),
 		Removed:  v.Removed(),
-		Detail:   v.Detail(),
 	}
 }
 
@@ -223,12 +225,13 @@
 	var v lagoon.News
 	v.SetTopic(m.Topic)
 	v.SetFull(m.Full)
+	v.SetPrevious(m.Previous)
+	v.SetRevision(m.Revision)
 	v.SetCatalog(fromCatalog(m.Catalog))
 	v.SetReplicas(each(m.Replicas, fromReplica))
 	v.SetZones(m.Zones)
 	v.SetMembers(each(m.Members, fromMember))
 	v.SetRemoved(m.Removed)
-	v.SetDetail(m.Detail)
 	return v
 }
 
@@ -363,6 +366,11 @@
 	Leaving   bool               `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
 	Ready     bool               `cbor:"8,keyasint,omitempty" json:"ready,omitempty"`
 	Statuses  []serverStatusForm `cbor:"9,keyasint,omitempty" json:"statuses,omitempty"`
+	Hub       bool               `cbor:"10,keyasint,omitempty" json:"hub,omitempty"`
+	Feeds     uint64             `cbor:"11,keyasint,omitempty" json:"feeds,omitempty"`
+	Ages      []feedAgeForm      `cbor:"12,keyasint,omitempty" json:"ages,omitempty"`
+	Listing   bool               `cbor:"13,keyasint,omitempty" json:"listing,omitempty"`
+	Live      []string           `cbor:"14,keyasint,omitempty" json:"live,omitempty"`
 }
 
 func toBeat(v lagoon.Beat) beatForm {
@@ -376,6 +384,11 @@
 		Leaving:   v.Leaving(),
 		Ready:     v.Ready(),
 		Statuses:  each(v.Statuses(), toServerStatus),
+		Hub:       v.Hub(),
+		Feeds:     v.Feeds(),
+		Ages:      each(v.Ages(), toFeedAge),
+		Listing:   v.Listing(),
+		Live:      v.Live(),
 	}
 }
 
@@ -390,6 +403,57 @@
 	v.SetLeaving(m.Leaving)
 	v.SetReady(m.Ready)
 	v.SetStatuses(each(m.Statuses, fromServerStatus))
+	v.SetHub(m.Hub)
+	v.SetFeeds(m.Feeds)
+	v.SetAges(each(m.Ages, fromFeedAge))
+	v.SetListing(m.Listing)
+	v.SetLive(m.Live)
+	return v
+}
+
+// feedAgeForm is the wire form of lagoon.FeedAge.
+type feedAgeForm struct {
+	Topic lagoon.Topic  `cbor:"1,keyasint,omitempty" json:"topic,omitempty"`
+	Age   time.Duration `cbor:"2,keyasint,omitempty" json:"age,omitempty"`
+}
+
+func toFeedAge(v lagoon.FeedAge) feedAgeForm {
+	return feedAgeForm{
+		Topic: v.Topic(),
+		Age:   v.Age(),
+	}
+}
+
+func fromFeedAge(m feedAgeForm) lagoon.FeedAge {
+	var v lagoon.FeedAge
+	v.SetTopic(m.Topic)
+	v.SetAge(m.Age)
+	return v
+}
+
+// feedForm is the wire form of lagoon.Feed.
+type feedForm struct {
+	From  string   `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	Start uint64   `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
+	Feeds uint64   `cbor:"3,keyasint,omitempty" json:"feeds,omitempty"`
+	News  newsForm `cbor:"4,keyasint,omitempty" json:"news,omitempty"`
+}
+
+func toFeed(v lagoon.Feed) feedForm {
+	return feedForm{
+		From:  v.From(),
+		Start: v.Start(),
+		Feeds: v.Feeds(),
+		News:  toNews(v.News()),
+	}
+}
+
+func fromFeed(m feedForm) lagoon.Feed {
+	var v lagoon.Feed
+	v.SetFrom(m.From)
+	v.SetStart(m.Start)
+	v.SetFeeds(m.Feeds)
+	v.SetNews(fromNews(m.News))
 	return v
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,6 +51,7 @@
 	kindLegCancel
 	kindClaimAsk
 	kindClaimTold
+	kindFeed
 )
 
 var decoder = func() cbor.DecMode {
@@ -93,6 +94,8 @@
 		return kindClaimAsk, toClaimAsk(*m)
 	case *lagoon.ClaimTold:
 		return kindClaimTold, toClaimTold(*m)
+	case *lagoon.Feed:
+		return kindFeed, toFeed(*m)
 	}
 	return 0, nil
 }
@@ -121,6 +124,8 @@
 		return read(e.Body, fromClaimAsk)
 	case kindClaimTold:
 		return read(e.Body, fromClaimTold)
+	case kindFeed:
+		return read(e.Body, fromFeed)
 	}
 	return nil, errors.Errorf("decode message: kind %d of protocol version %d is unknown", e.Kind, e.Version)
 }
--- a/messages.go
+++ b/messages.go
@@ -30,6 +30,25 @@
 	leaving   bool           // whether the sender is stopping
 	ready     bool           // whether the sender accepts queries
 	statuses  []ServerStatus // changes in the status of servers the sender owns
+	hub       bool           // whether the sender follows the registry for others
+	feeds     uint64         // the number of feeds that the sender has sent since its start
+	ages      []FeedAge      // for a hub, how old its knowledge is
+	listing   bool           // whether live is set
+	live      []string       // for a hub, the names of the nodes that take requests
+}
+
+// FeedAge says how old a hub's knowledge of one topic is.
+type FeedAge struct {
+	topic Topic         // the topic
+	age   time.Duration // the time since the registry confirmed it
+}
+
+// Feed carries what a hub learnt from the registry to the other nodes.
+type Feed struct {
+	from  string // the hub's name
+	start uint64 // the hub's start id
+	feeds uint64 // the number of this feed since the hub's start
+	news  News   // what it learnt
 }
 
 // ConfigPush carries a whole configuration to a node that has an older one.
