--- a/pkg/partly/partly.go
+++ b/pkg/partly/partly.go
@@ -16,9 +16,10 @@
 	"github.com/lagoontrail/lagoon"
 )
 
-// margin is the time before the objective at which a partial answer is given:
-// the way to the caller and back and some waiting for the processor.
-const margin = 8 * time.Millisecond
+// margin is the time before the objective at which a partial answer is given: the
+// opening of the caller's connection, the way to it and back, and some waiting for
+// the processor.
+const margin = 13 * time.Millisecond
 
 // Policy is a lagoon.PartialPolicy. The zero value works; it has no state.
 type Policy struct{}
