Refer callers to large nodes, tell starting nodes all, and wait less for leavers

Change: the directory leaves out nodes with under half of the cores of the largest near one. Hubs are two, those with the most cores first; they tell a starting node all they know, and heartbeats carry revisions in place of a count of feeds. Servers of other availability zones cost 1.6 instead of 1.2. A server that leaves is a last resort for 1 s, and for 2.1 s only after an outage of the store.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -658,17 +658,11 @@
 // SetHub sets whether the sender follows the registry for others.
 func (v *Beat) SetHub(x bool) { v.hub = x }
 
-// Feeds returns the number of feeds that the sender has sent since its start.
-func (v Beat) Feeds() uint64 { return v.feeds }
+// Marks returns for a hub, what it knows of the registry.
+func (v Beat) Marks() []FeedMark { return v.marks }
 
-// SetFeeds sets the number of feeds that the sender has sent since its start.
-func (v *Beat) SetFeeds(x uint64) { v.feeds = x }
-
-// Ages returns for a hub, how old its knowledge is.
-func (v Beat) Ages() []FeedAge { return v.ages }
-
-// SetAges sets for a hub, how old its knowledge is.
-func (v *Beat) SetAges(x []FeedAge) { v.ages = x }
+// SetMarks sets for a hub, what it knows of the registry.
+func (v *Beat) SetMarks(x []FeedMark) { v.marks = x }
 
 // Listing returns whether live is set.
 func (v Beat) Listing() bool { return v.listing }
@@ -683,34 +677,34 @@
 func (v *Beat) SetLive(x []string) { v.live = x }
 
 // Topic returns the topic.
-func (v FeedAge) Topic() Topic { return v.topic }
+func (v FeedMark) Topic() Topic { return v.topic }
 
 // SetTopic sets the topic.
-func (v *FeedAge) SetTopic(x Topic) { v.topic = x }
+func (v *FeedMark) SetTopic(x Topic) { v.topic = x }
 
 // Age returns the time since the registry confirmed it.
-func (v FeedAge) Age() time.Duration { return v.age }
+func (v FeedMark) Age() time.Duration { return v.age }
 
 // SetAge sets the time since the registry confirmed it.
-func (v *FeedAge) SetAge(x time.Duration) { v.age = x }
+func (v *FeedMark) SetAge(x time.Duration) { v.age = x }
 
-// From returns the hub's name.
-func (v Feed) From() string { return v.from }
+// Revision returns the registry's revision up to which the hub knows it.
+func (v FeedMark) Revision() uint64 { return v.revision }
 
-// SetFrom sets the hub's name.
-func (v *Feed) SetFrom(x string) { v.from = x }
+// SetRevision sets the registry's revision up to which the hub knows it.
+func (v *FeedMark) SetRevision(x uint64) { v.revision = x }
 
-// Start returns the hub's start id.
-func (v Feed) Start() uint64 { return v.start }
+// Changed returns the registry's revision from which on nothing changed up to there.
+func (v FeedMark) Changed() uint64 { return v.changed }
 
-// SetStart sets the hub's start id.
-func (v *Feed) SetStart(x uint64) { v.start = x }
+// SetChanged sets the registry's revision from which on nothing changed up to there.
+func (v *FeedMark) SetChanged(x uint64) { v.changed = x }
 
-// Feeds returns the number of this feed since the hub's start.
-func (v Feed) Feeds() uint64 { return v.feeds }
+// From returns the hub's name.
+func (v Feed) From() string { return v.from }
 
-// SetFeeds sets the number of this feed since the hub's start.
-func (v *Feed) SetFeeds(x uint64) { v.feeds = x }
+// SetFrom sets the hub's name.
+func (v *Feed) SetFrom(x string) { v.from = x }
 
 // News returns what it learnt.
 func (v Feed) News() News { return v.news }
@@ -1078,6 +1072,12 @@
 // SetFront sets the address and port that callers connect to; empty when it is addr.
 func (v *Member) SetFront(x string) { v.front = x }
 
+// Cores returns the processor cores that the node may use; 0 when it is not known.
+func (v Member) Cores() float64 { return v.cores }
+
+// SetCores sets the processor cores that the node may use; 0 when it is not known.
+func (v *Member) SetCores(x float64) { v.cores = x }
+
 // Server returns the server's name.
 func (v Assignment) Server() string { return v.server }
 
--- a/internal/direct/board/accessors_gen.go
+++ b/internal/direct/board/accessors_gen.go
@@ -86,6 +86,18 @@
 // SetRegistry sets tells what is declared and announced.
 func (v *Board) SetRegistry(x lagoon.Registry) { v.registry = x }
 
+// Patience returns how long after its start the node waits for a hub before it reads all by itself.
+func (v *Board) Patience() time.Duration { return v.patience }
+
+// SetPatience sets how long after its start the node waits for a hub before it reads all by itself.
+func (v *Board) SetPatience(x time.Duration) { v.patience = x }
+
+// Started returns when the node started.
+func (v *Board) Started() time.Duration { return v.started }
+
+// SetStarted sets when the node started.
+func (v *Board) SetStarted(x time.Duration) { v.started = x }
+
 // Runner returns makes a call; nil makes it on a goroutine of its own.
 func (v *Board) Runner() func(topic lagoon.Topic, call func(ctx context.Context) (lagoon.News, error)) {
 	return v.runner
@@ -102,18 +114,18 @@
 // SetReachable sets whether the registry answers, as far as is known.
 func (v *Board) SetReachable(x bool) { v.reachable = x }
 
+// LostAt returns when the registry last did not answer; 0 for never.
+func (v *Board) LostAt() time.Duration { return v.lostAt }
+
+// SetLostAt sets when the registry last did not answer; 0 for never.
+func (v *Board) SetLostAt(x time.Duration) { v.lostAt = x }
+
 // Hub returns whether this node follows the registry for others.
 func (v *Board) Hub() bool { return v.hub }
 
 // SetHub sets whether this node follows the registry for others.
 func (v *Board) SetHub(x bool) { v.hub = x }
 
-// Sent returns the feeds sent since the start.
-func (v *Board) Sent() uint64 { return v.sent }
-
-// SetSent sets the feeds sent since the start.
-func (v *Board) SetSent(x uint64) { v.sent = x }
-
 // RosterAt returns when the live nodes were last told to all.
 func (v *Board) RosterAt() time.Duration { return v.rosterAt }
 
--- a/internal/direct/board/board.go
+++ b/internal/direct/board/board.go
@@ -53,10 +53,12 @@
 	adopted   bool                                                                          // whether the declarations are known
 	listed    bool                                                                          // whether the servers are known
 	registry  lagoon.Registry                                                               // tells what is declared and announced
+	patience  time.Duration                                                                 // how long after its start the node waits for a hub before it reads all by itself
+	started   time.Duration                                                                 // when the node started
 	runner    func(topic lagoon.Topic, call func(ctx context.Context) (lagoon.News, error)) // makes a call; nil makes it on a goroutine of its own
 	reachable bool                                                                          // whether the registry answers, as far as is known
+	lostAt    time.Duration                                                                 // when the registry last did not answer; 0 for never
 	hub       bool                                                                          // whether this node follows the registry for others
-	sent      uint64                                                                        // the feeds sent since the start
 	rosterAt  time.Duration                                                                 // when the live nodes were last told to all
 	listing   bool                                                                          // whether the live nodes changed since
 	zonesOut  map[string]bool                                                               // the availability zones taken out
--- a/internal/direct/ctl/beats/beats.go
+++ b/internal/direct/ctl/beats/beats.go
@@ -13,9 +13,9 @@
 package beats
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
@@ -23,17 +23,18 @@
 	"github.com/lagoontrail/lagoon/internal/direct/mates"
 )
 
-// Hubs is the number of hubs: one may fail while another is being stopped, and
-// a third still follows the registry.
-const Hubs = 3
+// Hubs is the number of hubs. When both fail at once, every node asks the
+// registry by itself until others have taken over.
+const Hubs = 2
 
 // Times of heartbeats.
 const (
-	Interval    = 500 * time.Millisecond  // between two heartbeats to one node
-	SilentAfter = 2 * time.Second         // silence after which a node counts as failed; callers may be sent to one that died for 7 s at most
-	HubAfter    = 1200 * time.Millisecond // silence after which a hub is not relied on: two lost heartbeats
-	listEvery   = 2 * time.Second         // between two lists of live nodes without a change
-	forgetAfter = 20 * time.Second        // without a sign of life before a node no longer counts for shares
+	Interval      = 500 * time.Millisecond  // between two heartbeats to one node
+	startInterval = 100 * time.Millisecond  // the same, of a node that knows nothing yet
+	SilentAfter   = 2 * time.Second         // silence after which a node counts as failed; callers may be sent to one that died for 7 s at most
+	HubAfter      = 1200 * time.Millisecond // silence after which a hub is not relied on: two lost heartbeats
+	listEvery     = 2 * time.Second         // between two lists of live nodes without a change
+	forgetAfter   = 20 * time.Second        // without a sign of life before a node no longer counts for shares
 )
 
 // System exchanges heartbeats.
@@ -51,12 +52,21 @@
 		judge(b, b.Nodes().At(i), now)
 	}
 	elect(b, now)
-	if now-b.BeatAt() >= Interval {
+	if now-b.BeatAt() >= interval(b) {
 		b.SetBeatAt(now)
 		send(b, now)
 	}
 }
 
+// interval returns the time between two heartbeats. A node that knows nothing yet
+// sends them often, as the first to a node only opens the connection.
+func interval(b *board.Board) time.Duration {
+	if b.Adopted() && b.Listed() {
+		return Interval
+	}
+	return startInterval
+}
+
 func receive(b *board.Board, m *lagoon.Beat, now time.Duration) {
 	from := m.From()
 	if from.Name() == b.Self().Name() {
@@ -69,7 +79,6 @@
 	case from.Start() > row.Member().Start():
 		row.SetMember(from)
 		row.SetKnown(now)
-		row.SetFeeds(0)
 	}
 	row.SetHeard(now)
 	row.SetReady(m.Ready())
@@ -79,7 +88,7 @@
 		row.SetRoster(setOf(m.Live()))
 	}
 	if m.Hub() {
-		confirm(b, row, m, now)
+		confirm(b, m, now)
 	}
 }
 
@@ -91,20 +100,18 @@
 	return out
 }
 
-// confirm takes a hub's word for how old the knowledge of each topic is. If a
-// feed of it was missed, its word says nothing of what this node knows, and the
-// registry is asked.
-func confirm(b *board.Board, row *mates.Row, m *lagoon.Beat, now time.Duration) {
-	missed := row.Feeds() != m.Feeds()
-	row.SetFeeds(m.Feeds())
-	for _, a := range m.Ages() {
-		f, ok := b.Feeds().Find(a.Topic().String())
+// confirm takes a hub's word for what it knows. Where this node knows less, it
+// missed a feed and asks the registry.
+func confirm(b *board.Board, m *lagoon.Beat, now time.Duration) {
+	for _, mark := range m.Marks() {
+		f, ok := b.Feeds().Find(mark.Topic().String())
 		switch {
-		case !ok:
-		case missed:
+		case !ok || !f.Listed():
+		case f.Revision() < mark.Changed():
 			f.SetCheck(true)
 		case !f.Check():
-			f.SetConfirmed(max(f.Confirmed(), now-a.Age()))
+			f.SetRevision(max(f.Revision(), mark.Revision()))
+			f.SetConfirmed(max(f.Confirmed(), now-mark.Age()))
 		}
 	}
 }
@@ -164,6 +171,10 @@
 
 // elect decides whether this node is a hub.
 func elect(b *board.Board, now time.Duration) {
+	members, ok := b.Feeds().Find(lagoon.TopicMembers.String())
+	if !ok || !members.Listed() {
+		return // which nodes there are is not known yet
+	}
 	hub := !b.Stopping() && slices.Contains(first(b, now), b.Self().Name())
 	if hub == b.Hub() {
 		return
@@ -174,39 +185,39 @@
 }
 
 // first returns the first live nodes in an order that spreads them over the
-// availability zones. One that is known since a moment counts as live.
+// availability zones and puts those with the most cores first, as what a hub
+// sends grows with the fleet. One that is known since a moment counts as live.
 func first(b *board.Board, now time.Duration) []string {
-	zones := map[string][]string{}
+	zones := map[string][]lagoon.Member{}
 	if !b.Stopping() {
-		zones[b.Self().Zone()] = []string{b.Self().Name()}
+		zones[b.Self().Zone()] = []lagoon.Member{b.Self()}
 	}
 	for i := range b.Nodes().Len() {
 		row := b.Nodes().At(i)
 		starting := row.Heard() == 0 && now-row.Known() < SilentAfter
 		if row.Live() || starting || (heard(row, now, SilentAfter) && !row.Leaving()) {
-			zones[row.Member().Zone()] = append(zones[row.Member().Zone()], row.Member().Name())
+			zones[row.Member().Zone()] = append(zones[row.Member().Zone()], row.Member())
 		}
 	}
 	type place struct {
-		rank       int
-		zone, name string
+		rank   int
+		member lagoon.Member
 	}
 	var order []place
-	for zone, names := range zones {
-		slices.Sort(names)
-		for rank, name := range names {
-			order = append(order, place{rank, zone, name})
+	for _, members := range zones {
+		slices.SortFunc(members, func(x, y lagoon.Member) int {
+			return cmp.Or(cmp.Compare(y.Cores(), x.Cores()), cmp.Compare(x.Name(), y.Name()))
+		})
+		for rank, m := range members {
+			order = append(order, place{rank, m})
 		}
 	}
 	slices.SortFunc(order, func(x, y place) int {
-		if x.rank != y.rank {
-			return x.rank - y.rank
-		}
-		return strings.Compare(x.zone, y.zone)
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.member.Zone(), y.member.Zone()))
 	})
 	var out []string
 	for _, p := range order[:min(Hubs, len(order))] {
-		out = append(out, p.name)
+		out = append(out, p.member.Name())
 	}
 	return out
 }
@@ -219,9 +230,8 @@
 	beat.SetLeaving(b.Stopping())
 	beat.SetReady(b.Adopted() && b.Listed())
 	beat.SetHub(b.Hub())
-	beat.SetFeeds(b.Sent())
 	if b.Hub() {
-		beat.SetAges(ages(b, now))
+		beat.SetMarks(marks(b, now))
 		if b.Listing() || now-b.RosterAt() >= listEvery {
 			b.SetListing(false)
 			b.SetRosterAt(now)
@@ -238,18 +248,20 @@
 	}
 }
 
-// ages returns how old the knowledge of each topic is.
-func ages(b *board.Board, now time.Duration) []lagoon.FeedAge {
-	var out []lagoon.FeedAge
+// marks returns what this node knows of each topic.
+func marks(b *board.Board, now time.Duration) []lagoon.FeedMark {
+	var out []lagoon.FeedMark
 	for i := range b.Feeds().Len() {
 		f := b.Feeds().At(i)
 		if !f.Listed() {
 			continue
 		}
-		var a lagoon.FeedAge
-		a.SetTopic(f.Topic())
-		a.SetAge(now - f.Confirmed())
-		out = append(out, a)
+		var m lagoon.FeedMark
+		m.SetTopic(f.Topic())
+		m.SetAge(now - f.Confirmed())
+		m.SetRevision(f.Revision())
+		m.SetChanged(f.Changed())
+		out = append(out, m)
 	}
 	return out
 }
--- a/internal/direct/ctl/fade/fade.go
+++ b/internal/direct/ctl/fade/fade.go
@@ -6,7 +6,7 @@
 //	systems = append(systems, fade.System{})
 //
 // A server without an announcement may only have lost it while the registry was
-// away, so it stays a last resort for LastResort. A server that is leaving may
+// away, so it stays a last resort for a while, longer after an outage. A server that is leaving may
 // be the only one of its service for a moment, so it stays one as well.
 package fade
 
@@ -17,11 +17,22 @@
 	"github.com/lagoontrail/lagoon/internal/direct/board"
 )
 
-// LastResort is the time for which a server that is leaving or whose
-// announcement is gone still gets requests that no other server can take.
-// Announcements lost in an outage return within 2 s, and servers serve on for 3 s
-// at least, of which the news may take most of the rest.
-const LastResort = 2100 * time.Millisecond
+// Times for which a server that is leaving or whose announcement is gone still
+// gets requests that no other server can take. Servers serve on for 3 s at least,
+// of which the news may take a second or more.
+const (
+	lastResort  = time.Second             // in calm times
+	afterOutage = 2100 * time.Millisecond // announcements lost in an outage return within 2 s of its end
+	outageShade = 4 * time.Second         // for which an outage explains that announcements are gone
+)
+
+// LastResort returns that time.
+func LastResort(b *board.Board, now time.Duration) time.Duration {
+	if b.LostAt() > 0 && now-b.LostAt() < outageShade {
+		return afterOutage
+	}
+	return lastResort
+}
 
 // System drops servers.
 type System struct{}
@@ -31,13 +42,17 @@
 
 // Run drops the servers whose time is over.
 func (System) Run(b *board.Board, now time.Duration) {
+	if !b.Reachable() {
+		b.SetLostAt(now)
+	}
+	most := LastResort(b, now)
 	var over []lagoon.RowID
 	for i := range b.Servers().Len() {
 		row := b.Servers().At(i)
-		if row.GoneAt() > 0 && now-row.GoneAt() >= LastResort {
+		if row.GoneAt() > 0 && now-row.GoneAt() >= most {
 			over = append(over, b.Servers().ID(i))
 		}
-		if left := row.LeavingAt(); left > 0 && now-left >= LastResort && now-left < LastResort+2*board.Period {
+		if left := row.LeavingAt(); left > 0 && now-left >= lastResort && now-left < afterOutage+2*board.Period {
 			b.SetTouched(true)
 		}
 	}
--- a/internal/direct/ctl/learn/learn.go
+++ b/internal/direct/ctl/learn/learn.go
@@ -94,6 +94,7 @@
 	}
 	if n.Full() || !Empty(n) {
 		apply(b, n, now)
+		row.SetChanged(n.Revision())
 	}
 	if !Empty(n) && row.Revision() > 0 { // at its start each node reads all by itself
 		b.SetSpread(append(b.Spread(), n))
@@ -104,18 +105,13 @@
 
 // fed takes news of a hub in, unless something before it was missed.
 func fed(b *board.Board, m *lagoon.Feed, now time.Duration) {
-	hub, ok := b.Nodes().Find(m.From())
-	if !ok || hub.Member().Start() != m.Start() {
-		return // its heartbeat makes it known first
-	}
 	n := m.News()
 	row, ok := b.Feeds().Find(n.Topic().String())
 	if !ok {
 		return
 	}
-	hub.SetFeeds(hub.Feeds() + 1)
 	switch {
-	case n.Revision() <= row.Revision():
+	case n.Revision() <= row.Revision() && row.Listed():
 		return
 	case !n.Full() && (!row.Listed() || n.Previous() > row.Revision()):
 		row.SetCheck(true)
@@ -123,6 +119,7 @@
 	}
 	apply(b, n, now)
 	row.SetRevision(n.Revision())
+	row.SetChanged(n.Revision())
 	row.SetListed(true)
 	row.SetConfirmed(now)
 }
@@ -244,7 +241,6 @@
 		if m.Start() > row.Member().Start() {
 			row.SetMember(m)
 			row.SetKnown(now)
-			row.SetFeeds(0)
 		}
 	}
 	for _, name := range n.Removed() {
--- a/internal/direct/ctl/pull/pull.go
+++ b/internal/direct/ctl/pull/pull.go
@@ -23,6 +23,10 @@
 // its time-out and a heartbeat.
 const oldAfter = 3 * time.Second
 
+// membersShare is the part of its patience after which a node reads who the
+// others are.
+const membersShare = 4
+
 // Limits of a call beyond its wait. A registry that is away may take a call and
 // never answer it, also once it is back, so most calls are given up soon; each
 // third one is patient, for a registry that is only slow.
@@ -59,8 +63,10 @@
 		if row.Calling() || now < row.RetryAt() {
 			continue
 		}
-		old := now-row.Confirmed() >= oldAfter+waits[row.Topic()]-waits[lagoon.TopicCatalog]
-		if row.Listed() && following && !b.Hub() && !row.Check() && !old {
+		if !row.Listed() && patient(b, row, now) {
+			continue
+		}
+		if row.Listed() && !b.Hub() && !row.Check() && now-row.Confirmed() < trusted(row, following) {
 			continue
 		}
 		row.SetProbe(!b.Reachable())
@@ -71,6 +77,25 @@
 	}
 }
 
+// trusted returns the age up to which a node that is no hub trusts what it knows.
+func trusted(row *feeds.Row, following bool) time.Duration {
+	if !following {
+		return beats.HubAfter
+	}
+	return oldAfter + waits[row.Topic()] - waits[lagoon.TopicCatalog]
+}
+
+// patient reports whether a node that has just started may still wait: for the
+// other nodes' announcements before it reads who they are, and for a hub to tell
+// it the rest.
+func patient(b *board.Board, row *feeds.Row, now time.Duration) bool {
+	age := now - b.Started()
+	if row.Topic() == lagoon.TopicMembers {
+		return age < b.Patience()/membersShare
+	}
+	return !b.Hub() && age < b.Patience()
+}
+
 // probing reports whether a call that began while the registry was away is
 // under way.
 func probing(b *board.Board) bool {
--- a/internal/direct/ctl/show/show.go
+++ b/internal/direct/ctl/show/show.go
@@ -67,12 +67,13 @@
 // showServers lists the servers that may get requests. One whose announcement
 // is gone is shown as leaving.
 func showServers(b *board.Board, v *sight.View, now time.Duration) {
+	most := fade.LastResort(b, now)
 	seats := map[string][]lagoon.Replica{}
 	cold := map[string]time.Duration{}
 	for i := range b.Servers().Len() {
 		row := b.Servers().At(i)
 		r := row.Replica()
-		if b.ZonesOut()[r.Zone()] || (row.LeavingAt() > 0 && now-row.LeavingAt() >= fade.LastResort) {
+		if b.ZonesOut()[r.Zone()] || (row.LeavingAt() > 0 && now-row.LeavingAt() >= most) {
 			continue
 		}
 		if row.GoneAt() > 0 {
--- a/internal/direct/drive/accessors_gen.go
+++ b/internal/direct/drive/accessors_gen.go
@@ -2,6 +2,7 @@
 
 package drive
 
+import "time"
 import "github.com/lagoontrail/lagoon"
 
 // Self returns this node.
@@ -40,6 +41,12 @@
 // SetJournal sets keeps decisions.
 func (v *Drive) SetJournal(x lagoon.Journal) { v.journal = x }
 
+// Patience returns how long after its start the node waits for a hub before it reads all by itself.
+func (v *Drive) Patience() time.Duration { return v.patience }
+
+// SetPatience sets how long after its start the node waits for a hub before it reads all by itself.
+func (v *Drive) SetPatience(x time.Duration) { v.patience = x }
+
 // ExtraRatio returns extra attempts allowed at a service by all nodes, as a share of its requests.
 func (v *Drive) ExtraRatio() float64 { return v.extraRatio }
 
--- a/internal/direct/drive/drive.go
+++ b/internal/direct/drive/drive.go
@@ -48,6 +48,7 @@
 	exchange   lagoon.Exchange // sends attempts to servers
 	link       lagoon.PeerLink // sends messages to other nodes
 	journal    lagoon.Journal  // keeps decisions
+	patience   time.Duration   // how long after its start the node waits for a hub before it reads all by itself
 	extraRatio float64         // extra attempts allowed at a service by all nodes, as a share of its requests
 	extraSlack float64         // extra attempts allowed at a service by all nodes in a window beyond that share
 
@@ -111,6 +112,8 @@
 func (d *Drive) assemble() {
 	d.board.SetSelf(d.self)
 	d.board.SetClock(d.clock)
+	d.board.SetPatience(d.patience)
+	d.board.SetStarted(d.clock.Now())
 	d.board.SetRegistry(d.registry)
 	d.board.SetLink(d.link)
 	d.board.SetJournal(d.journal)
--- a/internal/direct/feeds/accessors_gen.go
+++ b/internal/direct/feeds/accessors_gen.go
@@ -17,6 +17,12 @@
 // SetRevision sets the registry's revision up to which it is known.
 func (v *Row) SetRevision(x uint64) { v.revision = x }
 
+// Changed returns the registry's revision from which on nothing changed up to there.
+func (v *Row) Changed() uint64 { return v.changed }
+
+// SetChanged sets the registry's revision from which on nothing changed up to there.
+func (v *Row) SetChanged(x uint64) { v.changed = x }
+
 // Listed returns whether all of it was read once.
 func (v *Row) Listed() bool { return v.listed }
 
--- a/internal/direct/feeds/feeds.go
+++ b/internal/direct/feeds/feeds.go
@@ -19,6 +19,7 @@
 type Row struct {
 	topic     lagoon.Topic  // the topic
 	revision  uint64        // the registry's revision up to which it is known
+	changed   uint64        // the registry's revision from which on nothing changed up to there
 	listed    bool          // whether all of it was read once
 	calling   bool          // whether a call to the registry is under way
 	confirmed time.Duration // when the registry, or a hub on its behalf, last confirmed what is known
--- a/internal/direct/mates/accessors_gen.go
+++ b/internal/direct/mates/accessors_gen.go
@@ -53,11 +53,11 @@
 // SetHub sets whether it follows the registry for others.
 func (v *Row) SetHub(x bool) { v.hub = x }
 
-// Feeds returns the feeds of this run that arrived.
-func (v *Row) Feeds() uint64 { return v.feeds }
+// Told returns the run that this node, as a hub, has told all that it knows.
+func (v *Row) Told() uint64 { return v.told }
 
-// SetFeeds sets the feeds of this run that arrived.
-func (v *Row) SetFeeds(x uint64) { v.feeds = x }
+// SetTold sets the run that this node, as a hub, has told all that it knows.
+func (v *Row) SetTold(x uint64) { v.told = x }
 
 // Roster returns the nodes that it, as a hub, names as live.
 func (v *Row) Roster() map[string]bool { return v.roster }
--- a/internal/direct/mates/mates.go
+++ b/internal/direct/mates/mates.go
@@ -24,6 +24,6 @@
 	live    bool            // whether it counts as live
 	liveAt  time.Duration   // when it last counted as live
 	hub     bool            // whether it follows the registry for others
-	feeds   uint64          // the feeds of this run that arrived
+	told    uint64          // the run that this node, as a hub, has told all that it knows
 	roster  map[string]bool // the nodes that it, as a hub, names as live
 }
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -370,10 +370,9 @@
 	Ready     bool               `cbor:"8,keyasint,omitempty" json:"ready,omitempty"`
 	Statuses  []serverStatusForm `cbor:"9,keyasint,omitempty" json:"statuses,omitempty"`
 	Hub       bool               `cbor:"10,keyasint,omitempty" json:"hub,omitempty"`
-	Feeds     uint64             `cbor:"11,keyasint,omitempty" json:"feeds,omitempty"`
-	Ages      []feedAgeForm      `cbor:"12,keyasint,omitempty" json:"ages,omitempty"`
-	Listing   bool               `cbor:"13,keyasint,omitempty" json:"listing,omitempty"`
-	Live      []string           `cbor:"14,keyasint,omitempty" json:"live,omitempty"`
+	Marks     []feedMarkForm     `cbor:"11,keyasint,omitempty" json:"marks,omitempty"`
+	Listing   bool               `cbor:"12,keyasint,omitempty" json:"listing,omitempty"`
+	Live      []string           `cbor:"13,keyasint,omitempty" json:"live,omitempty"`
 }
 
 func toBeat(v lagoon.Beat) beatForm {
@@ -388,8 +387,7 @@
 		Ready:     v.Ready(),
 		Statuses:  each(v.Statuses(), toServerStatus),
 		Hub:       v.Hub(),
-		Feeds:     v.Feeds(),
-		Ages:      each(v.Ages(), toFeedAge),
+		Marks:     each(v.Marks(), toFeedMark),
 		Listing:   v.Listing(),
 		Live:      v.Live(),
 	}
@@ -407,55 +405,54 @@
 	v.SetReady(m.Ready)
 	v.SetStatuses(each(m.Statuses, fromServerStatus))
 	v.SetHub(m.Hub)
-	v.SetFeeds(m.Feeds)
-	v.SetAges(each(m.Ages, fromFeedAge))
+	v.SetMarks(each(m.Marks, fromFeedMark))
 	v.SetListing(m.Listing)
 	v.SetLive(m.Live)
 	return v
 }
 
-// feedAgeForm is the wire form of lagoon.FeedAge.
-type feedAgeForm struct {
-	Topic lagoon.Topic  `cbor:"1,keyasint,omitempty" json:"topic,omitempty"`
-	Age   time.Duration `cbor:"2,keyasint,omitempty" json:"age,omitempty"`
+// feedMarkForm is the wire form of lagoon.FeedMark.
+type feedMarkForm struct {
+	Topic    lagoon.Topic  `cbor:"1,keyasint,omitempty" json:"topic,omitempty"`
+	Age      time.Duration `cbor:"2,keyasint,omitempty" json:"age,omitempty"`
+	Revision uint64        `cbor:"3,keyasint,omitempty" json:"revision,omitempty"`
+	Changed  uint64        `cbor:"4,keyasint,omitempty" json:"changed,omitempty"`
 }
 
-func toFeedAge(v lagoon.FeedAge) feedAgeForm {
-	return feedAgeForm{
-		Topic: v.Topic(),
-		Age:   v.Age(),
+func toFeedMark(v lagoon.FeedMark) feedMarkForm {
+	return feedMarkForm{
+		Topic:    v.Topic(),
+		Age:      v.Age(),
+		Revision: v.Revision(),
+		Changed:  v.Changed(),
 	}
 }
 
-func fromFeedAge(m feedAgeForm) lagoon.FeedAge {
-	var v lagoon.FeedAge
+func fromFeedMark(m feedMarkForm) lagoon.FeedMark {
+	var v lagoon.FeedMark
 	v.SetTopic(m.Topic)
 	v.SetAge(m.Age)
+	v.SetRevision(m.Revision)
+	v.SetChanged(m.Changed)
 	return v
 }
 
 // feedForm is the wire form of lagoon.Feed.
 type feedForm struct {
-	From  string   `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
-	Start uint64   `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
-	Feeds uint64   `cbor:"3,keyasint,omitempty" json:"feeds,omitempty"`
-	News  newsForm `cbor:"4,keyasint,omitempty" json:"news,omitempty"`
+	From string   `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	News newsForm `cbor:"2,keyasint,omitempty" json:"news,omitempty"`
 }
 
 func toFeed(v lagoon.Feed) feedForm {
 	return feedForm{
-		From:  v.From(),
-		Start: v.Start(),
-		Feeds: v.Feeds(),
-		News:  toNews(v.News()),
+		From: v.From(),
+		News: toNews(v.News()),
 	}
 }
 
 func fromFeed(m feedForm) lagoon.Feed {
 	var v lagoon.Feed
 	v.SetFrom(m.From)
-	v.SetStart(m.Start)
-	v.SetFeeds(m.Feeds)
 	v.SetNews(fromNews(m.News))
 	return v
 }
@@ -809,11 +806,12 @@
 
 // memberForm is the wire form of lagoon.Member.
 type memberForm struct {
-	Name  string `cbor:"1,keyasint,omitempty" json:"name,omitempty"`
-	Start uint64 `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
-	Addr  string `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
-	Zone  string `cbor:"4,keyasint,omitempty" json:"zone,omitempty"`
-	Front string `cbor:"5,keyasint,omitempty" json:"front,omitempty"`
+	Name  string  `cbor:"1,keyasint,omitempty" json:"name,omitempty"`
+	Start uint64  `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
+	Addr  string  `cbor:"3,keyasint,omitempty" json:"addr,omitempty"`
+	Zone  string  `cbor:"4,keyasint,omitempty" json:"zone,omitempty"`
+	Front string  `cbor:"5,keyasint,omitempty" json:"front,omitempty"`
+	Cores float64 `cbor:"6,keyasint,omitempty" json:"cores,omitempty"`
 }
 
 func toMember(v lagoon.Member) memberForm {
@@ -823,6 +821,7 @@
 		Addr:  v.Addr(),
 		Zone:  v.Zone(),
 		Front: v.Front(),
+		Cores: v.Cores(),
 	}
 }
 
@@ -833,6 +832,7 @@
 	v.SetAddr(m.Addr)
 	v.SetZone(m.Zone)
 	v.SetFront(m.Front)
+	v.SetCores(m.Cores)
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -31,24 +31,23 @@
 	ready     bool           // whether the sender accepts queries
 	statuses  []ServerStatus // changes in the status of servers the sender owns
 	hub       bool           // whether the sender follows the registry for others
-	feeds     uint64         // the number of feeds that the sender has sent since its start
-	ages      []FeedAge      // for a hub, how old its knowledge is
+	marks     []FeedMark     // for a hub, what it knows of the registry
 	listing   bool           // whether live is set
 	live      []string       // for a hub, the names of the nodes that take requests
 }
 
-// FeedAge says how old a hub's knowledge of one topic is.
-type FeedAge struct {
-	topic Topic         // the topic
-	age   time.Duration // the time since the registry confirmed it
+// FeedMark says what a hub knows of one topic.
+type FeedMark struct {
+	topic    Topic         // the topic
+	age      time.Duration // the time since the registry confirmed it
+	revision uint64        // the registry's revision up to which the hub knows it
+	changed  uint64        // the registry's revision from which on nothing changed up to there
 }
 
 // Feed carries what a hub learnt from the registry to the other nodes.
 type Feed struct {
-	from  string // the hub's name
-	start uint64 // the hub's start id
-	feeds uint64 // the number of this feed since the hub's start
-	news  News   // what it learnt
+	from string // the hub's name
+	news News   // what it learnt
 }
 
 // ConfigPush carries a whole configuration to a node that has an older one.
--- a/pkg/prefer/prefer.go
+++ b/pkg/prefer/prefer.go
@@ -19,7 +19,7 @@
 const (
 	leastSlowness = 0.3  // bounds how far a few quick answers may draw requests
 	partLoad      = 0.25 // of the share of slots in use; servers slow down as they fill
-	otherZone     = 1.2  // bytes between zones cost about a sixth of an answer's worth
+	otherZone     = 1.6  // bytes between zones cost about a sixth of an answer's worth
 	coldServer    = 1.6  // a server that has just started is slower by about this
 	faulty        = 6.0  // a lost answer costs a hedge or a part: several answers' time
 	silentAfter   = 2.5  // usual answers' times; few answers take longer
--- a/pkg/recent/recent.go
+++ b/pkg/recent/recent.go
@@ -31,6 +31,13 @@
 	merged  *hdr.Histogram
 	rotated time.Duration
 	since   int
+	asked   []answer
+}
+
+// answer is a quantile that was computed since the last merge.
+type answer struct {
+	percent float64
+	value   time.Duration
 }
 
 // Record adds one duration.
@@ -50,6 +57,7 @@
 	if d.merged == nil || d.since >= batch {
 		d.since = 0
 		d.merged = d.recent.Merge()
+		d.asked = d.asked[:0]
 	}
 }
 
@@ -62,5 +70,12 @@
 	if d.merged == nil {
 		return 0
 	}
-	return time.Duration(d.merged.ValueAtQuantile(percent)) * time.Microsecond
+	for _, a := range d.asked {
+		if a.percent == percent {
+			return a.value
+		}
+	}
+	value := time.Duration(d.merged.ValueAtQuantile(percent)) * time.Microsecond
+	d.asked = append(d.asked, answer{percent, value})
+	return value
 }
--- a/pkg/refer/refer.go
+++ b/pkg/refer/refer.go
@@ -8,6 +8,9 @@
 // Callers choose among the nodes at random and keep the answer for a while.
 // Nodes of the caller's own availability zone are near; with too few of them,
 // the loss of one would be felt by all of its callers, so all nodes are named.
+// Among the near ones, those with far fewer processor cores than the largest are
+// left out: a gathered answer takes them several times as long, and the fewer
+// nodes carry the traffic, the sooner each knows which servers are slow.
 package refer
 
 import "github.com/lagoontrail/lagoon"
@@ -19,19 +22,34 @@
 // most bounds an answer, in nodes.
 const most = 64
 
+// large is the share of the largest node's cores from which on a node is large.
+const large = 0.5
+
 // Policy chooses nodes. The zero value works; it has no state.
 type Policy struct{}
 
 // Members returns the nodes for a caller in a zone.
 func (Policy) Members(live []lagoon.Member, zone string) []lagoon.Member {
-	var near []lagoon.Member
-	for _, m := range live {
-		if m.Zone() == zone {
-			near = append(near, m)
-		}
-	}
+	near := where(live, func(m lagoon.Member) bool { return m.Zone() == zone })
 	if len(near) < fewest {
 		near = live
 	}
+	cores := 0.0
+	for _, m := range near {
+		cores = max(cores, m.Cores())
+	}
+	if big := where(near, func(m lagoon.Member) bool { return m.Cores() >= large*cores }); len(big) >= fewest {
+		near = big
+	}
 	return near[:min(len(near), most)]
 }
+
+func where(members []lagoon.Member, keep func(lagoon.Member) bool) []lagoon.Member {
+	var out []lagoon.Member
+	for _, m := range members {
+		if keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/values.go
+++ b/values.go
@@ -20,11 +20,12 @@
 
 // Member identifies one run of one node.
 type Member struct {
-	name  string // the node's name, unique in the deployment
-	start uint64 // the start id, larger after each start of the node
-	addr  string // the address and port of the node
-	zone  string // the availability zone
-	front string // the address and port that callers connect to; empty when it is addr
+	name  string  // the node's name, unique in the deployment
+	start uint64  // the start id, larger after each start of the node
+	addr  string  // the address and port of the node
+	zone  string  // the availability zone
+	front string  // the address and port that callers connect to; empty when it is addr
+	cores float64 // the processor cores that the node may use; 0 when it is not known
 }
 
 // Assignment says which node owns a server.
