Add a fault soak of the platform's nodes, and wait for the declarations at a start

Change: `lagoontrail soak` runs nodes as processes against a stand-in store and servers behind loopback proxies, kills, pauses, stops and restarts them, harms the store, the servers and the ways between, and checks what callers and servers see: at all times, and in calm those promises that have a time bound. A request that reaches a node before it knows the declarations waits up to 150 ms.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -72,7 +72,7 @@
 		Example:       "  lagoontrail demo\n  lagoontrail node --config node.json",
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	c.AddCommand(nodeCommand(), platformCommand(), checkCommand(), standinCommand(), versionCommand(), demoCommand(), benchCommand())
+	c.AddCommand(nodeCommand(), platformCommand(), soakCommand(), checkCommand(), standinCommand(), versionCommand(), demoCommand(), benchCommand())
 	c.AddCommand(operatorCommands()...)
 	return c
 }
--- a/internal/direct/sys/admit/admit.go
+++ b/internal/direct/sys/admit/admit.go
@@ -24,10 +24,17 @@
 
 // Waits told to callers that are refused.
 const (
-	startWait  = 500 * time.Millisecond // until a node that just started knows the declarations
+	startWait  = 300 * time.Millisecond // until a node that just started knows the declarations: a call to a slow store
 	serverWait = 400 * time.Millisecond // until a service without servers may have one: a few heartbeats of nodes
 )
 
+// Times for which a request waits at a node that has just started and does not
+// know the declarations yet: the store usually tells them within milliseconds.
+const (
+	holdMost  = 150 * time.Millisecond
+	holdAgain = 5 * time.Millisecond
+)
+
 // golden spreads consecutive turns evenly over 0 to 1, so that the targets'
 // shares hold over few requests.
 const golden = 0.6180339887498949
@@ -42,13 +49,25 @@
 // Name returns the system's name.
 func (System) Name() string { return "admit" }
 
-// Run admits the requests that arrived.
+// Run admits the requests that arrived, and those that waited for the
+// declarations.
 func (System) Run(f *flow.Flow, now time.Duration) {
 	for _, id := range f.Fresh() {
-		c, ok := f.Calls().Resolve(id)
-		if !ok {
-			continue
-		}
+		try(f, id, now)
+	}
+	for _, id := range f.DueRows(due.Slot) {
+		try(f, id, now)
+	}
+}
+
+// try admits a request unless it may wait for the declarations.
+func try(f *flow.Flow, id lagoon.RowID, now time.Duration) {
+	c, ok := f.Calls().Resolve(id)
+	switch {
+	case !ok || c.Ended() || c.Route() != nil:
+	case !f.View().Known() && now-c.Arrived() < holdMost:
+		f.WakeAt(now+holdAgain, due.Slot, id)
+	default:
 		admit(f, id, c, now)
 	}
 }
--- a/internal/direct/sys/sys_test.go
+++ b/internal/direct/sys/sys_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/sight"
 	"github.com/lagoontrail/lagoon/pkg/prefer"
 )
 
@@ -237,3 +238,27 @@
 	}
 	t.Logf("with all shards: %.3f, without the policy %.3f", whole, before)
 }
+
+// A request that reaches a node a moment before it knows the declarations is
+// served; one that is too early is refused and truly did not run.
+func TestRequestWaitsForDeclarationsAtTheStart(t *testing.T) {
+	s := newSim(t, 1)
+	route := look(s.shards(3, 20*time.Millisecond))
+	s.current.Store(&sight.View{})
+	soon := s.ask()
+	s.until(s.now + 40*time.Millisecond)
+	s.publish(route)
+	s.until(s.now + 100*time.Millisecond)
+	if got, want := soon.ruling.End(), lagoon.EndGathered; got != want {
+		t.Errorf("end: got %s, want %s", got, want)
+	}
+	s.current.Store(&sight.View{})
+	early := s.ask()
+	s.until(s.now + 200*time.Millisecond)
+	if got, want := early.ruling.End(), lagoon.EndRefused; got != want {
+		t.Errorf("end: got %s, want %s", got, want)
+	}
+	if early.ruling.RetryAfter() <= 0 {
+		t.Error("retry after: got 0, want a time")
+	}
+}
