Share common bounds by load, and place by refusals

Change: a refusal counts like a lost answer in placing. Heartbeats tell each node's rate of requests and hubs the sum; a node's share of a bound is its part of it. The slack of the retry budget is given out over its window. A request's shards without a usable server are given up before anything is sent.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -664,6 +664,18 @@
 // SetMarks sets for a hub, what it knows of the registry.
 func (v *Beat) SetMarks(x []FeedMark) { v.marks = x }
 
+// Rate returns the requests a second that the sender takes.
+func (v Beat) Rate() float64 { return v.rate }
+
+// SetRate sets the requests a second that the sender takes.
+func (v *Beat) SetRate(x float64) { v.rate = x }
+
+// Total returns for a hub, the requests a second that all nodes take.
+func (v Beat) Total() float64 { return v.total }
+
+// SetTotal sets for a hub, the requests a second that all nodes take.
+func (v *Beat) SetTotal(x float64) { v.total = x }
+
 // Listing returns whether live is set.
 func (v Beat) Listing() bool { return v.listing }
 
--- a/internal/direct/board/accessors_gen.go
+++ b/internal/direct/board/accessors_gen.go
@@ -114,6 +114,30 @@
 // SetReachable sets whether the registry answers, as far as is known.
 func (v *Board) SetReachable(x bool) { v.reachable = x }
 
+// Asked returns the requests that this node has taken.
+func (v *Board) Asked() *atomic.Int64 { return v.asked }
+
+// SetAsked sets the requests that this node has taken.
+func (v *Board) SetAsked(x *atomic.Int64) { v.asked = x }
+
+// Counted returns the requests counted for the rate.
+func (v *Board) Counted() int64 { return v.counted }
+
+// SetCounted sets the requests counted for the rate.
+func (v *Board) SetCounted(x int64) { v.counted = x }
+
+// Rate returns the requests a second that this node takes.
+func (v *Board) Rate() float64 { return v.rate }
+
+// SetRate sets the requests a second that this node takes.
+func (v *Board) SetRate(x float64) { v.rate = x }
+
+// Sharers returns the nodes of its own load that would share the servers, in the last view.
+func (v *Board) Sharers() float64 { return v.sharers }
+
+// SetSharers sets the nodes of its own load that would share the servers, in the last view.
+func (v *Board) SetSharers(x float64) { v.sharers = x }
+
 // LostAt returns when the registry last did not answer; 0 for never.
 func (v *Board) LostAt() time.Duration { return v.lostAt }
 
--- a/internal/direct/board/board.go
+++ b/internal/direct/board/board.go
@@ -57,6 +57,10 @@
 	started   time.Duration                                                                 // when the node started
 	runner    func(topic lagoon.Topic, call func(ctx context.Context) (lagoon.News, error)) // makes a call; nil makes it on a goroutine of its own
 	reachable bool                                                                          // whether the registry answers, as far as is known
+	asked     *atomic.Int64                                                                 // the requests that this node has taken
+	counted   int64                                                                         // the requests counted for the rate
+	rate      float64                                                                       // the requests a second that this node takes
+	sharers   float64                                                                       // the nodes of its own load that would share the servers, in the last view
 	lostAt    time.Duration                                                                 // when the registry last did not answer; 0 for never
 	hub       bool                                                                          // whether this node follows the registry for others
 	rosterAt  time.Duration                                                                 // when the live nodes were last told to all
--- a/internal/direct/ctl/beats/beats.go
+++ b/internal/direct/ctl/beats/beats.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -53,7 +54,12 @@
 	}
 	elect(b, now)
 	if now-b.BeatAt() >= interval(b) {
+		measure(b, now-b.BeatAt())
 		b.SetBeatAt(now)
+		if n := sharers(b, now); math.Abs(n-b.Sharers()) > sharersStep*b.Sharers() {
+			b.SetSharers(n)
+			b.SetTouched(true)
+		}
 		send(b, now)
 	}
 }
@@ -84,6 +90,8 @@
 	row.SetReady(m.Ready())
 	row.SetLeaving(m.Leaving())
 	row.SetHub(m.Hub())
+	row.SetRate(m.Rate())
+	row.SetTotal(m.Total())
 	if m.Listing() {
 		row.SetRoster(setOf(m.Live()))
 	}
@@ -163,8 +171,8 @@
 	return false
 }
 
-// Counts reports whether a node counts for the shares of common bounds.
-func Counts(row *mates.Row, now time.Duration) bool {
+// counts reports whether a node may be running.
+func counts(row *mates.Row, now time.Duration) bool {
 	last := max(row.Known(), row.Heard(), row.LiveAt())
 	return last > 0 && now-last < forgetAfter
 }
@@ -230,8 +238,10 @@
 	beat.SetLeaving(b.Stopping())
 	beat.SetReady(b.Adopted() && b.Listed())
 	beat.SetHub(b.Hub())
+	beat.SetRate(b.Rate())
 	if b.Hub() {
 		beat.SetMarks(marks(b, now))
+		beat.SetTotal(total(b, now))
 		if b.Listing() || now-b.RosterAt() >= listEvery {
 			b.SetListing(false)
 			b.SetRosterAt(now)
@@ -248,6 +258,59 @@
 	}
 }
 
+// sharersStep is the relative change of a node's share that makes a new view.
+const sharersStep = 0.1
+
+// rateWeight is the weight of the last interval in a node's rate of requests.
+const rateWeight = 0.5
+
+// measure updates this node's rate of requests over the time since the last
+// heartbeat.
+func measure(b *board.Board, since time.Duration) {
+	if b.Asked() == nil || since <= 0 {
+		return
+	}
+	asked := b.Asked().Load()
+	last := float64(asked-b.Counted()) / since.Seconds()
+	b.SetCounted(asked)
+	b.SetRate(b.Rate() + rateWeight*(last-b.Rate()))
+}
+
+// total returns the requests a second that all nodes take, as a hub hears it.
+func total(b *board.Board, now time.Duration) float64 {
+	sum := b.Rate()
+	for i := range b.Nodes().Len() {
+		if row := b.Nodes().At(i); heard(row, now, forgetAfter) {
+			sum += row.Rate()
+		}
+	}
+	return sum
+}
+
+// sharers returns how many nodes would share the servers' common bounds if all
+// took as many requests as this one; its share is the inverse. That is all nodes
+// that may be running while no hub tells the total.
+func sharers(b *board.Board, now time.Duration) float64 {
+	told := 0.0
+	if b.Hub() {
+		told = total(b, now)
+	}
+	all := 1.0
+	for i := range b.Nodes().Len() {
+		row := b.Nodes().At(i)
+		if row.Hub() && heard(row, now, forgetAfter) {
+			told = max(told, row.Total())
+		}
+		if counts(row, now) {
+			all++
+		}
+	}
+	if told == 0 || b.Rate() == 0 {
+		return all
+	}
+	return min(max(told/b.Rate(), 1), all)
+}
+
 // marks returns what this node knows of each topic.
 func marks(b *board.Board, now time.Duration) []lagoon.FeedMark {
 	var out []lagoon.FeedMark
--- a/internal/direct/ctl/show/show.go
+++ b/internal/direct/ctl/show/show.go
@@ -11,7 +11,6 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/board"
-	"github.com/lagoontrail/lagoon/internal/direct/ctl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl/fade"
 	"github.com/lagoontrail/lagoon/internal/direct/sight"
 )
@@ -36,7 +35,7 @@
 	v.SetStopping(b.Stopping())
 	showCatalog(b, v)
 	showServers(b, v, now)
-	showNodes(b, v, now)
+	showNodes(b, v)
 	b.Current().Store(v)
 }
 
@@ -88,23 +87,17 @@
 	v.SetColdUntil(cold)
 }
 
-// showNodes lists the live nodes that take requests, and counts those that may
-// be running for the shares of common bounds.
-func showNodes(b *board.Board, v *sight.View, now time.Duration) {
+// showNodes lists the live nodes that take requests.
+func showNodes(b *board.Board, v *sight.View) {
 	var members []lagoon.Member
 	if !b.Stopping() {
 		members = append(members, b.Self())
 	}
-	nodes := 1
 	for i := range b.Nodes().Len() {
-		row := b.Nodes().At(i)
-		if row.Live() {
+		if row := b.Nodes().At(i); row.Live() {
 			members = append(members, row.Member())
 		}
-		if beats.Counts(row, now) {
-			nodes++
-		}
 	}
 	v.SetMembers(members)
-	v.SetNodes(nodes)
+	v.SetNodes(max(b.Sharers(), 1))
 }
--- a/internal/direct/drive/accessors_gen.go
+++ b/internal/direct/drive/accessors_gen.go
@@ -58,3 +58,9 @@
 
 // SetExtraSlack sets extra attempts allowed at a service by all nodes in a window beyond that share.
 func (v *Drive) SetExtraSlack(x float64) { v.extraSlack = x }
+
+// ExtraWindow returns the window in which the extra attempts are bounded.
+func (v *Drive) ExtraWindow() time.Duration { return v.extraWindow }
+
+// SetExtraWindow sets the window in which the extra attempts are bounded.
+func (v *Drive) SetExtraWindow(x time.Duration) { v.extraWindow = x }
--- a/internal/direct/drive/drive.go
+++ b/internal/direct/drive/drive.go
@@ -42,15 +42,16 @@
 
 // Drive is one node. Make it with New.
 type Drive struct {
-	self       lagoon.Member   // this node
-	clock      lagoon.Clock    // the clock
-	registry   lagoon.Registry // tells what is declared and announced
-	exchange   lagoon.Exchange // sends attempts to servers
-	link       lagoon.PeerLink // sends messages to other nodes
-	journal    lagoon.Journal  // keeps decisions
-	patience   time.Duration   // how long after its start the node waits for a hub before it reads all by itself
-	extraRatio float64         // extra attempts allowed at a service by all nodes, as a share of its requests
-	extraSlack float64         // extra attempts allowed at a service by all nodes in a window beyond that share
+	self        lagoon.Member   // this node
+	clock       lagoon.Clock    // the clock
+	registry    lagoon.Registry // tells what is declared and announced
+	exchange    lagoon.Exchange // sends attempts to servers
+	link        lagoon.PeerLink // sends messages to other nodes
+	journal     lagoon.Journal  // keeps decisions
+	patience    time.Duration   // how long after its start the node waits for a hub before it reads all by itself
+	extraRatio  float64         // extra attempts allowed at a service by all nodes, as a share of its requests
+	extraSlack  float64         // extra attempts allowed at a service by all nodes in a window beyond that share
+	extraWindow time.Duration   // the window in which the extra attempts are bounded
 
 	current  atomic.Pointer[sight.View]
 	board    *board.Board
@@ -58,6 +59,7 @@
 	flow     *flow.Flow
 	flowBox  *mbox.Box
 	running  atomic.Int64
+	asked    atomic.Int64
 }
 
 // New returns a node to be given its collaborators and started. The clean-up
@@ -96,7 +98,9 @@
 // Serve runs the node until ctx ends.
 func (d *Drive) Serve(ctx context.Context) error {
 	d.assemble()
-	tree := suture.NewSimple("node")
+	// A goroutine that panics leaves tables behind that nothing can be said of, so
+	// the process ends and starts anew.
+	tree := suture.New("node", suture.Spec{PassThroughPanics: true})
 	tree.Add(service{"control", d.board.Run})
 	tree.Add(service{"traffic", d.flow.Run})
 	tree.Add(service{"announcement", func(ctx context.Context) error {
@@ -112,6 +116,7 @@
 func (d *Drive) assemble() {
 	d.board.SetSelf(d.self)
 	d.board.SetClock(d.clock)
+	d.board.SetAsked(&d.asked)
 	d.board.SetPatience(d.patience)
 	d.board.SetStarted(d.clock.Now())
 	d.board.SetRegistry(d.registry)
@@ -129,6 +134,7 @@
 	d.flow.SetReplicas(prefer.Policy{})
 	d.flow.SetExtraRatio(d.extraRatio)
 	d.flow.SetExtraSlack(d.extraSlack)
+	d.flow.SetExtraWindow(d.extraWindow)
 	d.flow.SetSystems(sys.Systems())
 }
 
@@ -160,6 +166,7 @@
 	row.SetAsk(a)
 	row.SetReply(reply)
 	row.SetArrived(d.clock.Now())
+	d.asked.Add(1)
 	if !d.flowBox.TryPost(row) {
 		var r lagoon.Ruling
 		r.SetEnd(lagoon.EndRefused)
--- a/internal/direct/flow/accessors_gen.go
+++ b/internal/direct/flow/accessors_gen.go
@@ -4,6 +4,7 @@
 
 import "context"
 import "sync/atomic"
+import "time"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/sight"
 
@@ -75,6 +76,12 @@
 	v.runner = x
 }
 
+// ExtraWindow returns the window in which the extra attempts are bounded.
+func (v *Flow) ExtraWindow() time.Duration { return v.extraWindow }
+
+// SetExtraWindow sets the window in which the extra attempts are bounded.
+func (v *Flow) SetExtraWindow(x time.Duration) { v.extraWindow = x }
+
 // View returns what is in force in this tick.
 func (v *Flow) View() *sight.View { return v.view }
 
--- a/internal/direct/flow/flow.go
+++ b/internal/direct/flow/flow.go
@@ -42,18 +42,19 @@
 
 // Flow owns the tables of one traffic goroutine.
 type Flow struct {
-	clock      lagoon.Clock                                                 // the clock
-	current    *atomic.Pointer[sight.View]                                  // where control publishes the view
-	exchange   lagoon.Exchange                                              // sends attempts to servers
-	journal    lagoon.Journal                                               // keeps decisions
-	hedger     lagoon.HedgePolicy                                           // decides on hedges
-	partial    lagoon.PartialPolicy                                         // decides on answers that do not cover all shards
-	replicas   lagoon.ReplicaPolicy                                         // rates servers
-	systems    []lagoon.System[*Flow]                                       // the systems, in the order they run
-	extraRatio float64                                                      // extra attempts allowed at a service by all nodes, as a share of its requests
-	extraSlack float64                                                      // extra attempts allowed at a service by all nodes in a window beyond that share
-	runner     func(send lagoon.RowID, a lagoon.Attempt) context.CancelFunc // starts an attempt; nil starts it on a goroutine of its own
-	view       *sight.View                                                  // what is in force in this tick
+	clock       lagoon.Clock                                                 // the clock
+	current     *atomic.Pointer[sight.View]                                  // where control publishes the view
+	exchange    lagoon.Exchange                                              // sends attempts to servers
+	journal     lagoon.Journal                                               // keeps decisions
+	hedger      lagoon.HedgePolicy                                           // decides on hedges
+	partial     lagoon.PartialPolicy                                         // decides on answers that do not cover all shards
+	replicas    lagoon.ReplicaPolicy                                         // rates servers
+	systems     []lagoon.System[*Flow]                                       // the systems, in the order they run
+	extraRatio  float64                                                      // extra attempts allowed at a service by all nodes, as a share of its requests
+	extraSlack  float64                                                      // extra attempts allowed at a service by all nodes in a window beyond that share
+	runner      func(send lagoon.RowID, a lagoon.Attempt) context.CancelFunc // starts an attempt; nil starts it on a goroutine of its own
+	extraWindow time.Duration                                                // the window in which the extra attempts are bounded
+	view        *sight.View                                                  // what is in force in this tick
 
 	fresh    []lagoon.RowID                        // the requests that arrived in this tick
 	left     []lagoon.RowID                        // the requests whose caller went away in this tick
--- a/internal/direct/funds/accessors_gen.go
+++ b/internal/direct/funds/accessors_gen.go
@@ -2,10 +2,10 @@
 
 package funds
 
-import "github.com/lagoontrail/lagoon"
+import "time"
 
-// Waiting returns shards that wait for a server.
-func (v *Row) Waiting() []lagoon.RowID { return v.waiting }
+// Earned returns when the part of the budget that grows with time was last added.
+func (v *Row) Earned() time.Duration { return v.earned }
 
-// SetWaiting sets shards that wait for a server.
-func (v *Row) SetWaiting(x []lagoon.RowID) { v.waiting = x }
+// SetEarned sets when the part of the budget that grows with time was last added.
+func (v *Row) SetEarned(x time.Duration) { v.earned = x }
--- a/internal/direct/funds/funds.go
+++ b/internal/direct/funds/funds.go
@@ -7,7 +7,8 @@
 package funds
 
 import (
-	"github.com/lagoontrail/lagoon"
+	"time"
+
 	"github.com/lagoontrail/lagoon/pkg/budget"
 )
 
@@ -15,7 +16,7 @@
 
 // Row is one service.
 type Row struct {
-	waiting []lagoon.RowID // shards that wait for a server
+	earned time.Duration // when the part of the budget that grows with time was last added
 
 	extra budget.Tokens
 }
--- a/internal/direct/mates/accessors_gen.go
+++ b/internal/direct/mates/accessors_gen.go
@@ -53,6 +53,18 @@
 // SetHub sets whether it follows the registry for others.
 func (v *Row) SetHub(x bool) { v.hub = x }
 
+// Rate returns the requests a second that it takes.
+func (v *Row) Rate() float64 { return v.rate }
+
+// SetRate sets the requests a second that it takes.
+func (v *Row) SetRate(x float64) { v.rate = x }
+
+// Total returns the requests a second that all nodes take, as it says as a hub.
+func (v *Row) Total() float64 { return v.total }
+
+// SetTotal sets the requests a second that all nodes take, as it says as a hub.
+func (v *Row) SetTotal(x float64) { v.total = x }
+
 // Told returns the run that this node, as a hub, has told all that it knows.
 func (v *Row) Told() uint64 { return v.told }
 
--- a/internal/direct/mates/mates.go
+++ b/internal/direct/mates/mates.go
@@ -24,6 +24,8 @@
 	live    bool            // whether it counts as live
 	liveAt  time.Duration   // when it last counted as live
 	hub     bool            // whether it follows the registry for others
+	rate    float64         // the requests a second that it takes
+	total   float64         // the requests a second that all nodes take, as it says as a hub
 	told    uint64          // the run that this node, as a hub, has told all that it knows
 	roster  map[string]bool // the nodes that it, as a hub, names as live
 }
--- a/internal/direct/sight/accessors_gen.go
+++ b/internal/direct/sight/accessors_gen.go
@@ -47,11 +47,11 @@
 // SetMembers sets the live nodes that take requests, this one included.
 func (v *View) SetMembers(x []lagoon.Member) { v.members = x }
 
-// Nodes returns the nodes that share the servers, at least 1.
-func (v *View) Nodes() int { return v.nodes }
+// Nodes returns the inverse of this node's share of the common bounds of the servers, at least 1.
+func (v *View) Nodes() float64 { return v.nodes }
 
-// SetNodes sets the nodes that share the servers, at least 1.
-func (v *View) SetNodes(x int) { v.nodes = x }
+// SetNodes sets the inverse of this node's share of the common bounds of the servers, at least 1.
+func (v *View) SetNodes(x float64) { v.nodes = x }
 
 // Known returns whether the declarations and the servers are known.
 func (v *View) Known() bool { return v.known }
--- a/internal/direct/sight/sight.go
+++ b/internal/direct/sight/sight.go
@@ -29,7 +29,7 @@
 	seats     map[string][]lagoon.Replica // the usable servers of each service; leaving ones are a last resort
 	coldUntil map[string]time.Duration    // the servers that are cold, with the end of it
 	members   []lagoon.Member             // the live nodes that take requests, this one included
-	nodes     int                         // the nodes that share the servers, at least 1
+	nodes     float64                     // the inverse of this node's share of the common bounds of the servers, at least 1
 	known     bool                        // whether the declarations and the servers are known
 	current   bool                        // whether the registry answers
 	stopping  bool                        // whether this node is stopping
--- a/internal/direct/sys/admit/admit.go
+++ b/internal/direct/sys/admit/admit.go
@@ -43,6 +43,10 @@
 // give out; the rest covers what nodes count differently from the servers.
 const budgetShare = 0.8
 
+// savedShare is the part of the slack of a window that may be saved up and spent
+// at once; the rest is given out evenly over the window.
+const savedShare = 0.4
+
 // System admits requests.
 type System struct{}
 
@@ -53,6 +57,9 @@
 // declarations.
 func (System) Run(f *flow.Flow, now time.Duration) {
 	for _, id := range f.Fresh() {
+		if c, ok := f.Calls().Resolve(id); ok {
+			c.SetView(f.View())
+		}
 		try(f, id, now)
 	}
 	for _, id := range f.DueRows(due.Slot) {
@@ -118,7 +125,7 @@
 		s.SetService(service)
 		s.SetQueued(now)
 		ids = append(ids, sid)
-		earn(f, service)
+		earn(f, service, now)
 		if len(c.View().ServersOf(service)) == 0 {
 			s.SetState(shards.Missing)
 			s.SetDetail("no server is announced")
@@ -166,11 +173,22 @@
 	return targets[len(targets)-1].Service()
 }
 
-// earn adds to a service's budget of extra attempts. Each node gives out its
-// part of the bound that holds for all nodes together.
-func earn(f *flow.Flow, service string) {
-	most := f.ExtraSlack() * budgetShare / float64(max(f.View().Nodes(), 1))
-	f.Funds().Ensure(service).ExtraRef().EarnUpTo(1, 100*f.ExtraRatio()*budgetShare, most)
+// earn adds to a service's budget of extra attempts: a share of its requests, and
+// a part that grows with time. Each node gives out its part of the bound that
+// holds for all nodes together in any window.
+func earn(f *flow.Flow, service string, now time.Duration) {
+	fund := f.Funds().Ensure(service)
+	slack := f.ExtraSlack() * budgetShare / max(f.View().Nodes(), 1)
+	since := min(now-fund.Earned(), f.ExtraWindow())
+	if fund.Earned() == 0 {
+		since = 0
+	}
+	fund.SetEarned(now)
+	grown := 0.0
+	if f.ExtraWindow() > 0 {
+		grown = slack * (1 - savedShare) * float64(since) / float64(f.ExtraWindow())
+	}
+	fund.ExtraRef().EarnUpTo(1, 100*(f.ExtraRatio()*budgetShare+grown), max(1, slack*savedShare))
 }
 
 func refuse(f *flow.Flow, id lagoon.RowID, c *calls.Row, after time.Duration, reason string) {
--- a/internal/direct/sys/place/place.go
+++ b/internal/direct/sys/place/place.go
@@ -22,6 +22,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/sends"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/sys/hedge"
+	"github.com/lagoontrail/lagoon/internal/direct/sys/yield"
 	"github.com/lagoontrail/lagoon/internal/due"
 )
 
@@ -55,22 +56,46 @@
 	s.waiting = append(s.waiting[:0], f.Queue()...)
 	f.SetQueue(f.Queue()[:0])
 	slices.SortStableFunc(s.waiting, func(a, b lagoon.RowID) int { return order(f, a, b) })
+	// What surely cannot be served is found before anything of it is sent.
 	for _, id := range s.waiting {
-		sh, ok := f.Shards().Resolve(id)
-		if !ok || !sh.Wants() {
-			continue
+		if sh, c, ok := wanted(f, id); ok && sh.Running() == 0 {
+			giveUp(f, sh, c, now)
 		}
-		c, ok := f.Calls().Resolve(sh.Call())
-		if !ok || c.Ended() {
-			continue
+	}
+	for _, id := range s.waiting {
+		if sh, c, ok := wanted(f, id); ok && yield.Enough(c, c.Covered()+c.Open()) {
+			place(f, id, sh, c, now)
 		}
-		place(f, id, sh, c, now)
 	}
 	if len(f.Queue()) > 0 {
 		f.WakeAt(now+lookAgain, due.Slot, 0)
 	}
 }
 
+// wanted returns a shard that wants an attempt, and its request.
+func wanted(f *flow.Flow, id lagoon.RowID) (*shards.Row, *calls.Row, bool) {
+	sh, ok := f.Shards().Resolve(id)
+	if !ok || !sh.Wants() {
+		return nil, nil, false
+	}
+	c, ok := f.Calls().Resolve(sh.Call())
+	return sh, c, ok && !c.Ended()
+}
+
+// giveUp gives a shard up if no server may answer for it.
+func giveUp(f *flow.Flow, sh *shards.Row, c *calls.Row, now time.Duration) {
+	if _, found, full := choose(f, sh, c, now); found || full {
+		return
+	}
+	sh.SetWants(false)
+	sh.SetState(shards.Missing)
+	if sh.Detail() == "" {
+		sh.SetDetail("no server answers now")
+	}
+	c.SetOpen(c.Open() - 1)
+	f.Touch(sh.Call())
+}
+
 // order puts urgent routes first, then what waited longest.
 func order(f *flow.Flow, a, b lagoon.RowID) int {
 	x, okX := f.Shards().Resolve(a)
@@ -93,16 +118,8 @@
 		start(f, id, sh, c, replica, now)
 	case full:
 		f.Want(id)
-	case sh.Running() > 0:
-		sh.SetWants(false) // a hedge without a second server
 	default:
-		sh.SetWants(false)
-		sh.SetState(shards.Missing)
-		if sh.Detail() == "" {
-			sh.SetDetail("no server answers now")
-		}
-		c.SetOpen(c.Open() - 1)
-		f.Touch(sh.Call())
+		sh.SetWants(false) // a hedge without a second server
 	}
 }
 
@@ -153,7 +170,7 @@
 	if pool.Conns() == 0 {
 		return math.MaxInt
 	}
-	return max(1, int(connShare*float64(pool.Conns())/float64(f.View().Nodes())))
+	return max(1, int(connShare*float64(pool.Conns())/max(f.View().Nodes(), 1)))
 }
 
 // coldRoom reports whether a cold server's bound leaves room for one attempt of
@@ -169,7 +186,7 @@
 	if pool.ColdPerSecond() == 0 || f.View().ColdUntilOf(r.ID()) <= now {
 		return
 	}
-	every := time.Duration(float64(time.Second) * float64(f.View().Nodes()) / pool.ColdPerSecond())
+	every := time.Duration(float64(time.Second) * max(f.View().Nodes(), 1) / pool.ColdPerSecond())
 	h.SetColdSpent(max(now, h.ColdSpent()) + every)
 }
 
--- a/internal/direct/sys/settle/settle.go
+++ b/internal/direct/sys/settle/settle.go
@@ -101,7 +101,10 @@
 		if v.Misplaced() {
 			h.SetMisplaced(h.Born())
 			f.Note("server_misplaced", s.Host(), "", "another server answered at its address: "+v.Detail())
+			break
 		}
+		h.SetFaulty(h.Faulty() + faultWeight*(1-h.Faulty()))
+		h.SetSampled(now)
 	case lagoon.StatusNotSent:
 		fail(f, s, h, now, dialsToRest)
 	case lagoon.StatusUnknown, lagoon.StatusFailed:
--- a/internal/direct/sys/sim_test.go
+++ b/internal/direct/sys/sim_test.go
@@ -55,6 +55,7 @@
 	refuses   bool    // cannot be reached
 	loses     bool    // runs requests and breaks the connection
 	lossShare float64 // the share of answers that it loses
+	shedShare float64 // the share of requests that it refuses
 	pause     time.Duration
 	every     time.Duration
 	phase     time.Duration
@@ -109,6 +110,7 @@
 	f.SetReplicas(prefer.Policy{})
 	f.SetExtraRatio(0.2)
 	f.SetExtraSlack(100)
+	f.SetExtraWindow(10 * time.Second)
 	f.SetSystems(sys.Systems())
 	f.SetRunner(s.run)
 	s.flow = f
@@ -266,6 +268,8 @@
 		case srv.refuses:
 			s.end(j, lagoon.StatusNotSent)
 		case srv.dead:
+		case s.rng.Float64() < srv.shedShare:
+			s.end(j, lagoon.StatusRefused)
 		case srv.busy < replica.Slots():
 			s.work(srv, j)
 		case len(srv.queue) < srv.most:
--- a/internal/direct/sys/sys_test.go
+++ b/internal/direct/sys/sys_test.go
@@ -262,3 +262,85 @@
 		t.Error("retry after: got 0, want a time")
 	}
 }
+
+// shedding replays a load under which two servers of each shard refuse three
+// fifths of their requests, and returns the shares in time and whole.
+func shedding(t *testing.T, policy lagoon.ReplicaPolicy) (inTime, whole float64) {
+	s := newSim(t, 6)
+	s.flow.SetReplicas(policy)
+	names := s.shards(36, 20*time.Millisecond)
+	route := look(names)
+	route.SetMinCoverage(0.95)
+	s.publish(route)
+	s.load(15, 2*time.Second)
+	s.ended = nil
+	for _, name := range names {
+		s.servers[name+"a"].shedShare = 0.6
+		s.servers[name+"b"].shedShare = 0.6
+	}
+	s.load(15, 8*time.Second)
+	return s.within(objective)
+}
+
+// Servers that refuse part of their requests while they say that they are well
+// are avoided: a refusal uses up one of the few attempts.
+func TestServersThatRefuseAreAvoided(t *testing.T) {
+	inTime, whole := shedding(t, prefer.Policy{})
+	before, _ := shedding(t, noFaults{})
+	if want := 0.9; inTime < want {
+		t.Errorf("within the objective: got %.3f, want at least %.3f", inTime, want)
+	}
+	if inTime <= before {
+		t.Errorf("within the objective: got %.3f, want more than %.3f without the policy", inTime, before)
+	}
+	t.Logf("within the objective: %.3f, without the policy %.3f; with all shards %.3f", inTime, before, whole)
+}
+
+// A request that surely misses too many shards is refused before any part of it
+// is sent.
+func TestNothingIsSentOfWhatCannotBeServed(t *testing.T) {
+	s := newSim(t, 1)
+	names := s.shards(10, 20*time.Millisecond)
+	for _, name := range names[:2] {
+		for _, zone := range []string{"a", "b", "c"} {
+			s.servers[name+zone].refuses = true
+		}
+	}
+	s.publish(look(names))
+	for range 40 {
+		s.ask()
+		s.until(s.now + 20*time.Millisecond)
+	}
+	sent := map[string]bool{}
+	for _, a := range s.sent {
+		sent[a.ID()] = true
+	}
+	refused := 0
+	for _, q := range s.ended {
+		if q.ruling.End() != lagoon.EndRefused {
+			continue
+		}
+		refused++
+		if sent[q.id] {
+			t.Errorf("%s: got attempts for a request that was refused, want none", q.id)
+		}
+	}
+	// A rest lasts half a second at first, and what is tried after it is lost.
+	if want := 30; refused < want {
+		t.Errorf("refused: got %d of 40, want at least %d", refused, want)
+	}
+}
+
+// A caller may go away while its request waits for the declarations.
+func TestCallerGoneBeforeDeclarations(t *testing.T) {
+	s := newSim(t, 1)
+	s.current.Store(&sight.View{})
+	s.ask()
+	for reply := range s.replies {
+		s.goneNow(reply)
+	}
+	s.until(s.now + time.Second)
+	if got, want := s.flow.Calls().Len(), 0; got != want {
+		t.Errorf("requests: got %d, want %d", got, want)
+	}
+}
--- a/internal/direct/sys/yield/yield.go
+++ b/internal/direct/sys/yield/yield.go
@@ -62,13 +62,13 @@
 // gathered decides on a request to many shards.
 func gathered(f *flow.Flow, id lagoon.RowID, c *calls.Row, now time.Duration) (lagoon.Ruling, bool) {
 	total := len(c.Shards())
-	reachable := enough(c, c.Covered()+c.Open())
+	reachable := Enough(c, c.Covered()+c.Open())
 	switch {
 	case !reachable:
 		return failed(f, c), true
 	case c.Open() == 0:
 		return parts(f, c), true
-	case !enough(c, c.Covered()):
+	case !Enough(c, c.Covered()):
 		return lagoon.Ruling{}, false
 	}
 	var v lagoon.PartialView
@@ -88,8 +88,8 @@
 	return lagoon.Ruling{}, false
 }
 
-// enough reports whether a number of shards makes an answer.
-func enough(c *calls.Row, covered int) bool {
+// Enough reports whether a number of shards makes an answer.
+func Enough(c *calls.Row, covered int) bool {
 	return covered > 0 && float64(covered) >= c.Route().MinCoverage()*float64(len(c.Shards()))
 }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -371,8 +371,10 @@
 	Statuses  []serverStatusForm `cbor:"9,keyasint,omitempty" json:"statuses,omitempty"`
 	Hub       bool               `cbor:"10,keyasint,omitempty" json:"hub,omitempty"`
 	Marks     []feedMarkForm     `cbor:"11,keyasint,omitempty" json:"marks,omitempty"`
-	Listing   bool               `cbor:"12,keyasint,omitempty" json:"listing,omitempty"`
-	Live      []string           `cbor:"13,keyasint,omitempty" json:"live,omitempty"`
+	Rate      float64            `cbor:"12,keyasint,omitempty" json:"rate,omitempty"`
+	Total     float64            `cbor:"13,keyasint,omitempty" json:"total,omitempty"`
+	Listing   bool               `cbor:"14,keyasint,omitempty" json:"listing,omitempty"`
+	Live      []string           `cbor:"15,keyasint,omitempty" json:"live,omitempty"`
 }
 
 func toBeat(v lagoon.Beat) beatForm {
@@ -388,6 +390,8 @@
 		Statuses:  each(v.Statuses(), toServerStatus),
 		Hub:       v.Hub(),
 		Marks:     each(v.Marks(), toFeedMark),
+		Rate:      v.Rate(),
+		Total:     v.Total(),
 		Listing:   v.Listing(),
 		Live:      v.Live(),
 	}
@@ -406,6 +410,8 @@
 	v.SetStatuses(each(m.Statuses, fromServerStatus))
 	v.SetHub(m.Hub)
 	v.SetMarks(each(m.Marks, fromFeedMark))
+	v.SetRate(m.Rate)
+	v.SetTotal(m.Total)
 	v.SetListing(m.Listing)
 	v.SetLive(m.Live)
 	return v
--- a/messages.go
+++ b/messages.go
@@ -32,6 +32,8 @@
 	statuses  []ServerStatus // changes in the status of servers the sender owns
 	hub       bool           // whether the sender follows the registry for others
 	marks     []FeedMark     // for a hub, what it knows of the registry
+	rate      float64        // the requests a second that the sender takes
+	total     float64        // for a hub, the requests a second that all nodes take
 	listing   bool           // whether live is set
 	live      []string       // for a hub, the names of the nodes that take requests
 }
--- a/pkg/prefer/prefer.go
+++ b/pkg/prefer/prefer.go
@@ -19,6 +19,7 @@
 const (
 	leastSlowness = 0.3  // bounds how far a few quick answers may draw requests
 	partLoad      = 0.25 // of the share of slots in use; servers slow down as they fill
+	ownLoad       = 1.0  // for each request of this node under way: few are, unless the server is slow or pausing
 	otherZone     = 1.6  // bytes between zones cost about a sixth of an answer's worth
 	coldServer    = 1.6  // a server that has just started is slower by about this
 	faulty        = 6.0  // a lost answer costs a hedge or a part: several answers' time
@@ -36,7 +37,7 @@
 	slots := float64(max(v.Slots(), 1))
 	load := float64(v.Inflight()) + v.Queued()
 	turns := 1 + max(0, load+1-slots)/slots
-	cost := max(v.Slowness(), leastSlowness) * (turns + partLoad*load/slots)
+	cost := max(v.Slowness(), leastSlowness) * (turns + partLoad*load/slots + ownLoad*float64(v.Inflight()))
 	if !v.SameZone() {
 		cost *= otherZone
 	}
