--- a/internal/direct/ctl/show/show.go
+++ b/internal/direct/ctl/show/show.go
@@ -68,6 +68,7 @@
 func showServers(b *board.Board, v *sight.View, now time.Duration) {
 	most := fade.LastResort(b, now)
 	seats := map[string][]lagoon.Replica{}
+	servers := map[string]bool{}
 	cold := map[string]time.Duration{}
 	for i := range b.Servers().Len() {
 		row := b.Servers().At(i)
@@ -78,12 +79,14 @@
 		if row.GoneAt() > 0 {
 			r.SetLeaving(true)
 		}
+		servers[r.ID()] = true
 		seats[r.Service()] = append(seats[r.Service()], r)
 		if r.Cold() > 0 {
 			cold[r.ID()] = row.Heard() + r.Cold()
 		}
 	}
 	v.SetSeats(seats)
+	v.SetServers(servers)
 	v.SetColdUntil(cold)
 }
 
--- a/internal/direct/sight/accessors_gen.go
+++ b/internal/direct/sight/accessors_gen.go
@@ -35,6 +35,12 @@
 // SetSeats sets the usable servers of each service; leaving ones are a last resort.
 func (v *View) SetSeats(x map[string][]lagoon.Replica) { v.seats = x }
 
+// Servers returns the ids of all usable servers.
+func (v *View) Servers() map[string]bool { return v.servers }
+
+// SetServers sets the ids of all usable servers.
+func (v *View) SetServers(x map[string]bool) { v.servers = x }
+
 // ColdUntil returns the servers that are cold, with the end of it.
 func (v *View) ColdUntil() map[string]time.Duration { return v.coldUntil }
 
--- a/internal/direct/sight/sight.go
+++ b/internal/direct/sight/sight.go
@@ -27,6 +27,7 @@
 	routes    map[string][]*lagoon.Route  // the routes of each host, longest prefix first
 	pools     map[string]lagoon.Pool      // the services by name
 	seats     map[string][]lagoon.Replica // the usable servers of each service; leaving ones are a last resort
+	servers   map[string]bool             // the ids of all usable servers
 	coldUntil map[string]time.Duration    // the servers that are cold, with the end of it
 	members   []lagoon.Member             // the live nodes that take requests, this one included
 	nodes     float64                     // the inverse of this node's share of the common bounds of the servers, at least 1
--- a/internal/direct/sys/settle/settle.go
+++ b/internal/direct/sys/settle/settle.go
@@ -66,6 +66,7 @@
 		}
 		f.Sends().Remove(id)
 	}
+	sweep(f)
 	for _, id := range f.Left() {
 		if c, ok := f.Calls().Resolve(id); ok && !c.Ended() {
 			var r lagoon.Ruling
@@ -78,6 +79,23 @@
 	}
 }
 
+// sweepEach is the number of servers known beyond those in use at which the ones
+// that are gone are forgotten.
+const sweepEach = 64
+
+// sweep forgets the servers that are no longer announced, now and then.
+func sweep(f *flow.Flow) {
+	known := f.View().Servers()
+	if f.Hosts().Len() < len(known)+sweepEach {
+		return
+	}
+	for i := f.Hosts().Len() - 1; i >= 0; i-- {
+		if id := f.Hosts().Key(i); !known[id] && f.Hosts().At(i).Inflight() == 0 {
+			f.Hosts().Drop(id)
+		}
+	}
+}
+
 // learn keeps what a verdict tells of the server and of the route.
 func learn(f *flow.Flow, s *sends.Row, now time.Duration) {
 	h, ok := f.Hosts().Find(s.Host())
--- a/internal/direct/sys/sim_test.go
+++ b/internal/direct/sys/sim_test.go
@@ -145,10 +145,12 @@
 	v := &sight.View{}
 	seats := map[string][]lagoon.Replica{}
 	pools := map[string]lagoon.Pool{}
+	known := map[string]bool{}
 	for _, name := range services(r) {
 		for _, zone := range []string{"a", "b", "c"} {
 			if srv, ok := s.servers[name+zone]; ok {
 				seats[name] = append(seats[name], srv.replica)
+				known[srv.replica.ID()] = true
 			}
 		}
 		var p lagoon.Pool
@@ -159,6 +161,7 @@
 	self.SetZone("a")
 	v.SetSelf(self)
 	v.SetSeats(seats)
+	v.SetServers(known)
 	v.SetPools(pools)
 	v.SetRoutes(map[string][]*lagoon.Route{"desk": {&r}})
 	v.SetNodes(1)
--- a/internal/direct/sys/sys_test.go
+++ b/internal/direct/sys/sys_test.go
@@ -1,6 +1,7 @@
 package sys_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -344,3 +345,16 @@
 		t.Errorf("requests: got %d, want %d", got, want)
 	}
 }
+
+// Servers that come and go leave nothing behind.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	s := newSim(t, 1)
+	s.publish(look(s.shards(3, 10*time.Millisecond)))
+	for i := range 500 {
+		s.flow.Hosts().Ensure(fmt.Sprint("gone-", i))
+	}
+	s.load(10, time.Second)
+	if got, most := s.flow.Hosts().Len(), 9+64; got > most {
+		t.Errorf("servers known: got %d, want at most %d", got, most)
+	}
+}
