--- /dev/null
+++ b/pkg/refer/refer_test.go
@@ -0,0 +1,44 @@
+package refer_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/refer"
+)
+
+func member(name, zone string, cores float64) lagoon.Member {
+	var m lagoon.Member
+	m.SetName(name)
+	m.SetZone(zone)
+	m.SetCores(cores)
+	return m
+}
+
+func TestMembers(t *testing.T) {
+	live := []lagoon.Member{member("a1", "a", 0.8), member("a2", "a", 0.8), member("a3", "a", 0.1), member("b1", "b", 0.1), member("b2", "b", 0.1), member("c1", "c", 0.8)}
+	cases := []struct {
+		name, zone string
+		want       []string
+	}{
+		{"large ones of the zone", "a", []string{"a1", "a2"}},
+		{"all are alike", "b", []string{"b1", "b2"}},
+		{"too few in the zone", "c", []string{"a1", "a2", "c1"}},
+		{"zone unknown", "x", []string{"a1", "a2", "c1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			for _, m := range (refer.Policy{}).Members(live, c.zone) {
+				got = append(got, m.Name())
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+	if got := (refer.Policy{}).Members(nil, "a"); len(got) != 0 {
+		t.Errorf("without nodes: got %v, want none", got)
+	}
+}
