--- a/internal/direct/board/accessors_gen.go
+++ b/internal/direct/board/accessors_gen.go
@@ -7,24 +7,7 @@
 import "time"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/sight"
-
-// Topic returns the topic.
-func (v *Pulled) Topic() lagoon.Topic { return v.topic }
-
-// SetTopic sets the topic.
-func (v *Pulled) SetTopic(x lagoon.Topic) { v.topic = x }
-
-// News returns the answer.
-func (v *Pulled) News() lagoon.News { return v.news }
-
-// SetNews sets the answer.
-func (v *Pulled) SetNews(x lagoon.News) { v.news = x }
-
-// Err returns the failure, if it failed.
-func (v *Pulled) Err() error { return v.err }
-
-// SetErr sets the failure, if it failed.
-func (v *Pulled) SetErr(x error) { v.err = x }
+import "github.com/lagoontrail/lagoon/internal/direct/told"
 
 // Self returns this node.
 func (v *Board) Self() lagoon.Member { return v.self }
@@ -187,10 +170,10 @@
 func (v *Board) SetBeatAt(x time.Duration) { v.beatAt = x }
 
 // Pulled returns what the registry answered in this tick.
-func (v *Board) Pulled() []Pulled { return v.pulled }
+func (v *Board) Pulled() []told.Told { return v.pulled }
 
 // SetPulled sets what the registry answered in this tick.
-func (v *Board) SetPulled(x []Pulled) { v.pulled = x }
+func (v *Board) SetPulled(x []told.Told) { v.pulled = x }
 
 // Fed returns what hubs told in this tick.
 func (v *Board) Fed() []*lagoon.Feed { return v.fed }
--- a/internal/direct/board/board.go
+++ b/internal/direct/board/board.go
@@ -24,6 +24,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/mates"
 	"github.com/lagoontrail/lagoon/internal/direct/seen"
 	"github.com/lagoontrail/lagoon/internal/direct/sight"
+	"github.com/lagoontrail/lagoon/internal/direct/told"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/rows"
 )
@@ -34,13 +35,6 @@
 // server that is gone or a node that is silent leaves the view.
 const Period = 100 * time.Millisecond
 
-// Pulled is the answer of the registry to one call.
-type Pulled struct {
-	topic lagoon.Topic // the topic
-	news  lagoon.News  // the answer
-	err   error        // the failure, if it failed
-}
-
 // Board owns the control tables of one node.
 type Board struct {
 	self      lagoon.Member                                                                 // this node
@@ -69,7 +63,7 @@
 	stopping  bool                                                                          // whether the node is stopping
 	touched   bool                                                                          // whether the next view differs
 	beatAt    time.Duration                                                                 // when the last heartbeats were sent
-	pulled    []Pulled                                                                      // what the registry answered in this tick
+	pulled    []told.Told                                                                   // what the registry answered in this tick
 	fed       []*lagoon.Feed                                                                // what hubs told in this tick
 	spread    []lagoon.News                                                                 // what this node learnt from the registry in this tick
 	beats     []*lagoon.Beat                                                                // the heartbeats that arrived in this tick
@@ -101,7 +95,7 @@
 // Feeds returns the table of topics.
 func (b *Board) Feeds() *rows.Table[feeds.Row] { return &b.feeds }
 
-// Call asks the registry on another goroutine; the answer arrives as Pulled.
+// Call asks the registry on another goroutine; the answer arrives as told.Told.
 func (b *Board) Call(topic lagoon.Topic, call func(ctx context.Context) (lagoon.News, error)) {
 	if b.runner != nil {
 		b.runner(topic, call)
@@ -110,9 +104,12 @@
 	b.tasks.Add(1)
 	go func() {
 		defer b.tasks.Done()
-		p := Pulled{topic: topic}
-		p.news, p.err = call(b.ctx)
-		_ = b.box.Post(b.ctx, p) // fails only when control has stopped
+		answer := told.Told{}
+		answer.SetTopic(topic)
+		news, err := call(b.ctx)
+		answer.SetNews(news)
+		answer.SetErr(err)
+		_ = b.box.Post(b.ctx, answer) // fails only when control has stopped
 	}()
 }
 
@@ -136,7 +133,7 @@
 func (b *Board) Tick(items []any) {
 	for _, m := range items {
 		switch m := m.(type) {
-		case Pulled:
+		case told.Told:
 			b.pulled = append(b.pulled, m)
 		case *lagoon.Feed:
 			b.fed = append(b.fed, m)
--- a/internal/direct/ctl/fleet_test.go
+++ b/internal/direct/ctl/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/board"
 	"github.com/lagoontrail/lagoon/internal/direct/ctl"
 	"github.com/lagoontrail/lagoon/internal/direct/sight"
+	"github.com/lagoontrail/lagoon/internal/direct/told"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 )
 
@@ -203,7 +204,7 @@
 	var out []any
 	var left []*pending
 	for _, p := range n.pending {
-		var got board.Pulled
+		var got told.Told
 		got.SetTopic(p.topic)
 		switch {
 		case n.cut || f.away || p.lost || (f.mute && p.watch):
