Count a server's departure from when the registry may have accepted it

Cause: a draining or withdrawn server stayed usable for 2.1 s from when the node learned of it, in an outage up to a second or more after the registry had accepted the change; a request reached a server 69 ms after its bound. A node that started meanwhile used a draining server for a second, whatever time it had left.

Change: each server that leaves has one time until which it may get requests. After an outage, a gap or a full read it counts from the last confirmation that no change was missing. The longer period for announcements lost in an outage applies only if a quarter of the servers is missing, as an outage affects all of them alike.

Before: TestDepartureBeforeOutageIsAppliedInTime (use after 3.02 s, bound 3 s) and TestNodeStartsWhileServerIsDraining failed. After: both pass for all outages of 0.1 s to 3.5 s.

--- /dev/null
+++ b/internal/direct/ctrl/edge_test.go
@@ -0,0 +1,88 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+)
+
+// A server's departure that is accepted just before the registry stops responding
+// reaches the nodes late. No node may use the server after drainLimit, or after it
+// learned of the departure if that is later, however long the outage lasts.
+func TestDepartureBeforeOutageIsAppliedInTime(t *testing.T) {
+	departures := map[string]func(f *fleet){
+		"draining":  func(f *fleet) { f.announce("s1", true) },
+		"withdrawn": func(f *fleet) { f.withdraw("s1") },
+	}
+	for name, depart := range departures {
+		t.Run(name, func(t *testing.T) {
+			for outage := 100 * time.Millisecond; outage <= 3500*time.Millisecond; outage += 100 * time.Millisecond {
+				f := newFleet(t, 5)
+				f.announce("s1", false)
+				for i := range 8 { // the other servers of the service keep their announcements
+					f.announce(fmt.Sprint("other-", i), false)
+				}
+				f.run(5 * time.Second)
+				f.registryDown = true
+				depart(f)
+				accepted := f.now
+				learned := map[string]time.Duration{}
+				for f.now < accepted+drainLimit+recoveryLimit {
+					f.registryDown = f.now < accepted+outage
+					f.run(tickStep)
+					for _, n := range f.nodes {
+						checkDeparture(t, n, outage, accepted, learned)
+					}
+				}
+			}
+		})
+	}
+}
+
+// checkDeparture checks that a node does not use server s1 too late.
+func checkDeparture(t *testing.T, n *node, outage, accepted time.Duration, learned map[string]time.Duration) {
+	t.Helper()
+	name, now := n.self.Name(), n.fleet.now
+	server := findServer(n, "s1")
+	if _, ok := learned[name]; !ok && (server == nil || server.Draining()) {
+		learned[name] = now
+	}
+	at, ok := learned[name]
+	if server != nil && ok && now-accepted > drainLimit && now > at {
+		t.Fatalf("outage of %s: %s learned of the departure after %s: got the server in use after %s, want not after %s", outage, name, at-accepted, now-accepted, drainLimit)
+	}
+}
+
+// findServer returns a server in a node's view, or nil.
+func findServer(n *node, id string) *lagoon.Replica {
+	servers := n.publishedView.Load().ServersOf("desk")
+	for i := range servers {
+		if servers[i].ID() == id {
+			return &servers[i]
+		}
+	}
+	return nil
+}
+
+// A node that starts while a server is draining does not know since when. It must not
+// use the server, which may be about to end.
+func TestNodeStartsWhileServerIsDraining(t *testing.T) {
+	f := newFleet(t, 5)
+	f.announce("s1", false)
+	f.announce("s2", false)
+	f.run(5 * time.Second)
+	f.announce("s1", true)
+	f.run(drainLimit - 500*time.Millisecond)
+	restarted := f.start(f.nodes[4].self.Name(), f.nodes[4].self.Zone())
+	for range 50 {
+		f.run(tickStep)
+		if server := findServer(restarted, "s1"); server != nil {
+			t.Fatalf("%s: got the draining server in use, want not", restarted.self.Name())
+		}
+	}
+	if got := findServer(restarted, "s2"); got == nil {
+		t.Error("the other server: got none, want it in use")
+	}
+}
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -1,14 +1,16 @@
-// Package expire removes servers whose announcement was removed a grace period
-// ago, and ends the use of servers that have been draining for one.
+// Package expire decides until when a server that is leaving may get requests, and
+// removes it then.
 //
 // # Usage
 //
+//	row.SetUsableUntil(expire.LastUse(since, lapsed, now))
 //	systems = append(systems, expire.System{})
 //
-// An announcement may have been lost only because the registry was down, so its
-// server stays usable as a last resort for a grace period, which is longer after an
-// outage. The same holds for a draining server, which may briefly be the only one
-// of its service.
+// A server that is draining may briefly be the only one of its service, and an
+// announcement may have been lost only because the registry was down. Both stay usable
+// as a last resort for a grace period. The period ends before the server's drain time,
+// which counts from the acceptance of the change by the registry. After an outage the
+// change may be as old as the last confirmation that no change was missing.
 package expire
 
 import (
@@ -18,22 +20,48 @@
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
-// Periods for which a server that is draining, or whose announcement was removed, still
-// gets requests that no other server can take. A draining server continues to serve
-// for at least 3 s after it announced that, and the announcement may take a second or
-// more to reach all nodes.
+// Periods for which a server that is leaving still gets requests that no other server
+// can take.
 const (
-	gracePeriod       = time.Second             // unless the registry was unreachable within outageWindow
-	outageGracePeriod = 2100 * time.Millisecond // announcements lost in an outage return within 2 s of its end
-	outageWindow      = 4 * time.Second         // after an outage, in which a missing announcement may have been lost
+	gracePeriod       = time.Second             // from when the node learned of it; the news may take another second to reach all nodes
+	lapseGracePeriod  = 2100 * time.Millisecond // for announcements lost in an outage, which return within 2 s of its end
+	drainTime         = 3 * time.Second         // for which a server serves after the registry accepted that it leaves
+	drainMargin       = 400 * time.Millisecond  // of the drain time, for the next tick and the way to the server
+	outageWindow      = 4 * time.Second         // after an outage, in which changes may have been learned late
+	lapsedServerShare = 0.25                    // of the servers; an outage affects the announcements of all servers alike, while few servers leave at a time
 )
 
-// GracePeriod returns the grace period in effect.
-func GracePeriod(s *state.State, now time.Duration) time.Duration {
-	if s.RegistryLostAt() > 0 && now-s.RegistryLostAt() < outageWindow {
-		return outageGracePeriod
+// Outage reports whether the registry was unreachable within outageWindow.
+func Outage(s *state.State, now time.Duration) bool {
+	return s.RegistryLostAt() > 0 && now-s.RegistryLostAt() < outageWindow
+}
+
+// Lapsed reports whether the announcements that are missing were probably lost in an
+// outage of the registry.
+func Lapsed(s *state.State, now time.Duration) bool {
+	if !Outage(s, now) {
+		return false
+	}
+	unannounced := 0
+	for i := range s.Servers().Len() {
+		if s.Servers().At(i).UnannouncedAt() > 0 {
+			unannounced++
+		}
 	}
-	return gracePeriod
+	return float64(unannounced) >= lapsedServerShare*float64(s.Servers().Len())
+}
+
+// LastUse returns until when a server may get requests whose departure the node learns
+// of now. since is the earliest time at which the registry may have accepted it, or 0 if
+// that is not known. lapsed is set if the announcement was probably lost in an outage.
+func LastUse(since time.Duration, lapsed bool, now time.Duration) time.Duration {
+	switch {
+	case lapsed:
+		return now + lapseGracePeriod
+	case since == 0:
+		return now
+	}
+	return min(now+gracePeriod, since+drainTime-drainMargin)
 }
 
 // System removes servers.
@@ -47,18 +75,17 @@
 	if !s.RegistryReachable() {
 		s.SetRegistryLostAt(now)
 	}
-	grace := GracePeriod(s, now)
 	var expired []lagoon.RowID
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
-		if row.UnannouncedAt() > 0 && now-row.UnannouncedAt() >= grace {
+		if row.UsableUntil() == 0 || now < row.UsableUntil() {
+			continue
+		}
+		if row.UnannouncedAt() > 0 {
 			expired = append(expired, s.Servers().ID(i))
 		}
-		// A view leaves out the draining servers whose grace period has ended. Either
-		// period may apply, so views are published from the end of the shorter one
-		// until just after the end of the longer one.
-		if drainingAt := row.DrainingAt(); drainingAt > 0 && now-drainingAt >= gracePeriod && now-drainingAt < outageGracePeriod+2*state.TickInterval {
-			s.SetViewStale(true)
+		if now < row.UsableUntil()+2*state.TickInterval {
+			s.SetViewStale(true) // a view leaves out the draining servers whose grace period has ended
 		}
 	}
 	for _, id := range expired {
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -19,6 +19,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/expire"
+	"github.com/lagoontrail/lagoon/internal/direct/server"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
 )
@@ -86,6 +88,7 @@
 func handleUpdate(s *state.State, row *topics.Row, update lagoon.RegistryUpdate, now time.Duration) {
 	row.SetFailures(0)
 	row.SetRetryAt(0)
+	since := changedSince(s, row, update, now)
 	row.SetGap(false)
 	row.SetConfirmedAt(now)
 	s.SetCallsFailingSince(0)
@@ -101,7 +104,7 @@
 		row.SetRetryAt(now + batchDelay)
 	}
 	if update.Full() || !Empty(update) {
-		apply(s, update, now)
+		apply(s, update, since, now)
 		row.SetLastChange(update.Revision())
 	}
 	if !Empty(update) && row.Revision() > 0 { // the first read of a topic is not forwarded, as each node starts with its own
@@ -126,7 +129,7 @@
 		row.SetGap(true)
 		return
 	}
-	apply(s, update, now)
+	apply(s, update, changedSince(s, row, update, now), now)
 	if update.Full() {
 		row.SetGap(false)
 	}
@@ -142,13 +145,24 @@
 	return catalog.Revision() == 0 && len(update.Replicas())+len(update.Zones())+len(update.Members())+len(update.Removed()) == 0
 }
 
-// apply applies an update to the tables of its topic.
-func apply(s *state.State, update lagoon.RegistryUpdate, now time.Duration) {
+// changedSince returns the earliest time at which the registry may have accepted the
+// changes in an update, or 0 if it is not known. A change arrives at once, unless the
+// node missed updates or the registry was unreachable.
+func changedSince(s *state.State, row *topics.Row, update lagoon.RegistryUpdate, now time.Duration) time.Duration {
+	if update.Full() || row.Gap() || expire.Outage(s, now) {
+		return row.ConfirmedAt()
+	}
+	return now
+}
+
+// apply applies an update to the tables of its topic. since is the earliest time at
+// which the registry may have accepted the changes.
+func apply(s *state.State, update lagoon.RegistryUpdate, since, now time.Duration) {
 	switch update.Topic() {
 	case lagoon.TopicCatalog:
 		applyCatalog(s, update.Catalog())
 	case lagoon.TopicReplicas:
-		applyReplicas(s, update, now)
+		applyReplicas(s, update, since, now)
 	case lagoon.TopicZones:
 		applyZones(s, update)
 	case lagoon.TopicMembers:
@@ -169,28 +183,28 @@
 }
 
 // applyReplicas applies an update of the announced servers.
-func applyReplicas(s *state.State, update lagoon.RegistryUpdate, now time.Duration) {
+func applyReplicas(s *state.State, update lagoon.RegistryUpdate, since, now time.Duration) {
 	announced := map[string]bool{}
 	for _, r := range update.Replicas() {
 		announced[r.ID()] = true
-		applyReplica(s, r, now)
+		applyReplica(s, r, since, now)
 	}
+	var withdrawn []string
 	if update.Full() {
 		for i := range s.Servers().Len() {
 			if id := s.Servers().Key(i); !announced[id] {
-				markUnannounced(s, id, now)
+				withdrawn = append(withdrawn, id)
 			}
 		}
 		s.SetServersKnown(true)
 		s.SetViewStale(true)
 	}
-	for _, id := range update.Removed() {
-		markUnannounced(s, id, now)
-	}
+	withdrawn = append(withdrawn, update.Removed()...)
+	markUnannounced(s, withdrawn, since, now)
 }
 
 // applyReplica applies one announcement.
-func applyReplica(s *state.State, replica lagoon.Replica, now time.Duration) {
+func applyReplica(s *state.State, replica lagoon.Replica, since, now time.Duration) {
 	row := s.Servers().Ensure(replica.ID())
 	old := row.Replica()
 	if replica.Revision() < old.Revision() {
@@ -201,13 +215,12 @@
 	returned := row.UnannouncedAt() > 0
 	row.SetUnannouncedAt(0)
 	switch {
-	case !replica.Draining() || old.StartedMilli() != replica.StartedMilli():
+	case !replica.Draining():
 		row.SetDrainingAt(0)
-	case row.DrainingAt() == 0:
-		row.SetDrainingAt(now)
-	}
-	if replica.Draining() && row.DrainingAt() == 0 {
+		row.SetUsableUntil(0)
+	case row.DrainingAt() == 0 || old.StartedMilli() != replica.StartedMilli():
 		row.SetDrainingAt(now)
+		row.SetUsableUntil(expire.LastUse(since, false, now))
 	}
 	s.SetViewStale(true)
 	if returned || old.ID() == "" || old.Draining() != replica.Draining() || old.StartedMilli() != replica.StartedMilli() || (old.ColdDuration() == 0) != (replica.ColdDuration() == 0) {
@@ -215,15 +228,30 @@
 	}
 }
 
-// markUnannounced marks a server whose announcement was removed.
-func markUnannounced(s *state.State, id string, now time.Duration) {
-	row, ok := s.Servers().Find(id)
-	if !ok || row.UnannouncedAt() > 0 {
+// markUnannounced marks the servers whose announcements were removed.
+func markUnannounced(s *state.State, ids []string, since, now time.Duration) {
+	var marked []*server.Row
+	for _, id := range ids {
+		row, ok := s.Servers().Find(id)
+		if !ok || row.UnannouncedAt() > 0 {
+			continue
+		}
+		row.SetUnannouncedAt(now)
+		marked = append(marked, row)
+	}
+	if len(marked) == 0 {
 		return
 	}
-	row.SetUnannouncedAt(now)
 	s.SetViewStale(true)
-	s.Record("server_unannounced", id, "its announcement is gone; the server is used only as a last resort until the announcement returns or the server is dropped")
+	lapsed := expire.Lapsed(s, now)
+	lastUse := expire.LastUse(since, lapsed, now)
+	for _, row := range marked {
+		if row.DrainingAt() == 0 {
+			row.SetUsableUntil(lastUse)
+		}
+		replica := row.Replica()
+		s.Record("server_unannounced", replica.ID(), fmt.Sprintf("its announcement is gone; the server is used only as a last resort, for %s or until the announcement returns; probably lost in an outage of the registry: %t", max(row.UsableUntil()-now, 0), lapsed))
+	}
 }
 
 // applyZones applies an update of the availability zones taken out of service.
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/expire"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 )
@@ -89,14 +88,13 @@
 // setServers sets the servers that may get requests. A server whose announcement
 // was removed is listed as draining.
 func setServers(s *state.State, v *view.View, now time.Duration) {
-	grace := expire.GracePeriod(s, now)
 	byService := map[string][]lagoon.Replica{}
 	ids := map[string]bool{}
 	coldUntil := map[string]time.Duration{}
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
 		replica := row.Replica()
-		if s.ZonesOut()[replica.Zone()] || (row.DrainingAt() > 0 && now-row.DrainingAt() >= grace) {
+		if s.ZonesOut()[replica.Zone()] || (row.UsableUntil() > 0 && now >= row.UsableUntil()) {
 			continue
 		}
 		if row.UnannouncedAt() > 0 {
--- a/internal/direct/server/accessors_gen.go
+++ b/internal/direct/server/accessors_gen.go
@@ -28,3 +28,9 @@
 
 // SetDrainingAt sets when the server was first announced as draining; 0 while it is not.
 func (v *Row) SetDrainingAt(x time.Duration) { v.drainingAt = x }
+
+// UsableUntil returns until when a server that is draining or not announced may get requests; 0 for any other.
+func (v *Row) UsableUntil() time.Duration { return v.usableUntil }
+
+// SetUsableUntil sets until when a server that is draining or not announced may get requests; 0 for any other.
+func (v *Row) SetUsableUntil(x time.Duration) { v.usableUntil = x }
--- a/internal/direct/server/server.go
+++ b/internal/direct/server/server.go
@@ -21,4 +21,5 @@
 	announcedAt   time.Duration  // when the announcement was received
 	unannouncedAt time.Duration  // when the announcement was removed; 0 while it exists
 	drainingAt    time.Duration  // when the server was first announced as draining; 0 while it is not
+	usableUntil   time.Duration  // until when a server that is draining or not announced may get requests; 0 for any other
 }
