--- a/internal/htplat/htplat.go
+++ b/internal/htplat/htplat.go
@@ -15,7 +15,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
 // VersionHeader is the response header with an object's version.
@@ -32,6 +32,9 @@
 // maxObjectBytes is the platform's limit on the size of an object.
 const maxObjectBytes = 1 << 20
 
+// maxHeaderBytes is the maximum size of the headers of a response.
+const maxHeaderBytes = 16 << 10
+
 // Store is a lagoon.Store over HTTP. Create it with New.
 type Store struct {
 	baseURL   string
@@ -45,7 +48,7 @@
 	if watchWait <= 0 {
 		watchWait = 10 * time.Second
 	}
-	return &Store{baseURL: baseURL, watchWait: watchWait, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	return &Store{baseURL: baseURL, watchWait: watchWait, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Get reads an object.
@@ -190,7 +193,7 @@
 		return 0, nil, nil, errors.Wrapf(lagoon.ErrUnavailable, "%s %s: %v", method, path, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*maxObjectBytes))
+	data, err := whole.Read(resp.Body, 4*maxObjectBytes)
 	if err != nil {
 		return 0, nil, nil, errors.Wrapf(lagoon.ErrUnavailable, "%s %s: %v", method, path, err)
 	}
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -27,6 +27,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
 // Headers of the protocol.
@@ -43,6 +44,7 @@
 	idleTimeout         = 90 * time.Second
 	maxIdleConnsPerHost = 16
 	maxResponseBytes    = 8 << 20
+	maxHeaderBytes      = 16 << 10 // of a response
 )
 
 // Client is a lagoon.Upstream over HTTP. Create it with New.
@@ -55,10 +57,11 @@
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
 	}
 	return &Client{httpClient: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
@@ -83,7 +86,7 @@
 		return failedReply(lagoon.StatusUnknown, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := whole.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return failedReply(lagoon.StatusUnknown, err)
 	}
--- a/internal/opcli/opcli.go
+++ b/internal/opcli/opcli.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
 // Limits of calls.
@@ -176,7 +178,7 @@
 		return 0, nil, errors.Wrap(err, "call the node")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := whole.Read(resp.Body, maxReplyBytes)
 	return resp.StatusCode, data, errors.Wrap(err, "read the reply")
 }
 
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -32,13 +32,15 @@
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/wire"
 	"github.com/lagoontrail/lagoon/pkg/budget"
+	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
 // Limits of a client.
 const (
-	maxAttempts        = 3       // nodes tried for one query
-	maxBodyBytes       = 8 << 20 // of a response
-	maxUnsentIDs       = 65536   // cleared when exceeded
+	maxAttempts        = 3        // nodes tried for one query
+	maxBodyBytes       = 8 << 20  // of a response
+	maxHeaderBytes     = 16 << 10 // of a response
+	maxUnsentIDs       = 65536    // cleared when exceeded
 	dialTimeout        = 500 * time.Millisecond
 	listTimeout        = time.Second // of a request for the list of nodes
 	listRetryDelay     = time.Second
@@ -68,7 +70,7 @@
 // connections.
 func New(zone string, seeds ...string) (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256}
+	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: maxHeaderBytes}
 	c := &Client{zone: zone, seeds: seeds, http: &http.Client{Transport: t}}
 	return c, t.CloseIdleConnections
 }
@@ -194,7 +196,7 @@
 		return lagoon.Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := whole.Read(resp.Body, maxBodyBytes)
 	if err != nil {
 		return lagoon.Answer{}, err
 	}
