Repeat lost responses in time when many servers lose them

Cause: a shard gave up after the route's two servers had lost its response, though the route limits servers and not attempts; an early reset counted as a fast response, so that servers that reset were preferred, the mean fell and more was hedged; three early resets in a row rested a server that answers most requests; a slow untried server was preferred although its response would miss the objective.

Change: an idempotent request goes to a server that lost its response again, four lost responses at most and as the retry budget allows; an early failure is no latency sample and rests a server after eight; the cost of a replica rises tenfold if it is expected to miss the objective; retries after losses reserve tokens as those after refusals do. A response says for each missing part what it waited for.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -556,6 +556,12 @@
 // SetSilence sets the time since the last response while requests are in flight, relative to a typical response time.
 func (v *ReplicaView) SetSilence(x float64) { v.silence = x }
 
+// Remaining returns the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late.
+func (v ReplicaView) Remaining() float64 { return v.remaining }
+
+// SetRemaining sets the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late.
+func (v *ReplicaView) SetRemaining(x float64) { v.remaining = x }
+
 // Jitter returns a fresh random number, 0 to 1.
 func (v ReplicaView) Jitter() float64 { return v.jitter }
 
--- a/direct.go
+++ b/direct.go
@@ -153,5 +153,6 @@
 	draining        bool    // whether the replica is stopping or its announcement was removed; json:"leaving"
 	failureRate     float64 // the fraction of recent requests that failed or got no response, 0 to 1; json:"faulty"
 	silence         float64 // the time since the last response while requests are in flight, relative to a typical response time
+	remaining       float64 // the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late
 	jitter          float64 // a fresh random number, 0 to 1; json:"noise"
 }
--- a/internal/direct/shards/accessors_gen.go
+++ b/internal/direct/shards/accessors_gen.go
@@ -41,12 +41,24 @@
 // SetRefusedBy sets the IDs of the servers that refused the request and may be retried.
 func (v *Row) SetRefusedBy(x []string) { v.refusedBy = x }
 
+// LostBy returns the IDs of the servers whose response was lost and that may be retried.
+func (v *Row) LostBy() []string { return v.lostBy }
+
+// SetLostBy sets the IDs of the servers whose response was lost and that may be retried.
+func (v *Row) SetLostBy(x []string) { v.lostBy = x }
+
 // Refusals returns the number of refusals so far.
 func (v *Row) Refusals() int { return v.refusals }
 
 // SetRefusals sets the number of refusals so far.
 func (v *Row) SetRefusals(x int) { v.refusals = x }
 
+// Losses returns the number of lost responses so far.
+func (v *Row) Losses() int { return v.losses }
+
+// SetLosses sets the number of lost responses so far.
+func (v *Row) SetLosses(x int) { v.losses = x }
+
 // NeedsToken returns whether the next attempt must take a token from the retry budget.
 func (v *Row) NeedsToken() bool { return v.needsToken }
 
--- a/internal/direct/shards/shards.go
+++ b/internal/direct/shards/shards.go
@@ -32,7 +32,9 @@
 	triedServers   int            // the number of servers that attempts reached or are in flight to, each counted once
 	excluded       []string       // the IDs of the servers that get no further attempt
 	refusedBy      []string       // the IDs of the servers that refused the request and may be retried
+	lostBy         []string       // the IDs of the servers whose response was lost and that may be retried
 	refusals       int            // the number of refusals so far
+	losses         int            // the number of lost responses so far
 	needsToken     bool           // whether the next attempt must take a token from the retry budget
 	notBefore      time.Duration  // the earliest time of the next attempt, after a refusal
 	inflight       int            // the number of attempts in flight
--- a/internal/direct/tokens/accessors_gen.go
+++ b/internal/direct/tokens/accessors_gen.go
@@ -10,11 +10,11 @@
 // SetBurst sets the largest number of tokens that may accumulate.
 func (v *Row) SetBurst(x float64) { v.burst = x }
 
-// RefusedAt returns the time of the last refusal by a server; 0 for never.
-func (v *Row) RefusedAt() time.Duration { return v.refusedAt }
+// RetriedAt returns when an attempt was last refused or its response lost.
+func (v *Row) RetriedAt() time.Duration { return v.retriedAt }
 
-// SetRefusedAt sets the time of the last refusal by a server; 0 for never.
-func (v *Row) SetRefusedAt(x time.Duration) { v.refusedAt = x }
+// SetRetriedAt sets when an attempt was last refused or its response lost.
+func (v *Row) SetRetriedAt(x time.Duration) { v.retriedAt = x }
 
 // RefilledAt returns the time of the last refill.
 func (v *Row) RefilledAt() time.Duration { return v.refilledAt }
--- a/internal/direct/tokens/tokens.go
+++ b/internal/direct/tokens/tokens.go
@@ -18,7 +18,7 @@
 // Row is the retry budget of one service.
 type Row struct {
 	burst      float64       // the largest number of tokens that may accumulate
-	refusedAt  time.Duration // the time of the last refusal by a server; 0 for never
+	retriedAt  time.Duration // when an attempt was last refused or its response lost
 	refilledAt time.Duration // the time of the last refill
 
 	tokens budget.Tokens
--- a/internal/direct/trfc/hedge/hedge.go
+++ b/internal/direct/trfc/hedge/hedge.go
@@ -63,7 +63,7 @@
 }
 
 func tryHedge(l *loop.Loop, id lagoon.RowID, attempt *tries.Row, shard *shards.Row, req *reqs.Row, now time.Duration) {
-	if !req.Route().Idempotent() || (shard.TriedServers() >= req.Route().MaxAttempts() && len(shard.RefusedBy()) == 0) {
+	if !req.Route().Idempotent() || (shard.TriedServers() >= req.Route().MaxAttempts() && len(shard.RefusedBy())+len(shard.LostBy()) == 0) {
 		return
 	}
 	budget := l.Budgets().Ensure(attempt.Service())
@@ -97,7 +97,7 @@
 // reserved reports whether the tokens left are reserved for retries after
 // refusals.
 func reserved(budget *tokens.Row, now time.Duration) bool {
-	return budget.RefusedAt() > 0 && now-budget.RefusedAt() < refusalWindow && budget.TokensRef().Available() < reserveShare*budget.Burst()
+	return budget.RetriedAt() > 0 && now-budget.RetriedAt() < refusalWindow && budget.TokensRef().Available() < reserveShare*budget.Burst()
 }
 
 // Delay returns the time after which an attempt on a route is hedged: the quantile of
--- a/internal/direct/trfc/reply/reply.go
+++ b/internal/direct/trfc/reply/reply.go
@@ -13,11 +13,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
+	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
 
@@ -85,8 +87,8 @@
 	if req.Route() != nil {
 		name = req.Route().Name()
 	}
-	l.Record("request_"+response.Outcome().String(), name, request.ID(), fmt.Sprintf("%s; took %s, caller started %s earlier, catalog version %d, registry reachable %t; attempts:%s",
-		response.Reason(), (now-req.ArrivedAt()).Round(time.Millisecond), callerElapsed(req), catalog.Version(), req.View().RegistryReachable(), req.Trace()))
+	l.Record("request_"+response.Outcome().String(), name, request.ID(), fmt.Sprintf("%s;%s took %s, caller started %s earlier, catalog version %d, registry reachable %t; attempts:%s",
+		response.Reason(), describeMissing(l, req, now), (now-req.ArrivedAt()).Round(time.Millisecond), callerElapsed(req), catalog.Version(), req.View().RegistryReachable(), req.Trace()))
 }
 
 // callerElapsed returns how long the caller had waited when its request arrived.
@@ -96,3 +98,38 @@
 	}
 	return (req.ArrivedAt() - req.CallerStart()).Round(time.Millisecond)
 }
+
+// describeMissing describes why each shard is missing from a response that covers only
+// some of them, or returns an empty string.
+func describeMissing(l *loop.Loop, req *reqs.Row, now time.Duration) string {
+	response := req.Response()
+	if response.MissingShards() == 0 {
+		return ""
+	}
+	var out strings.Builder
+	out.WriteString(" missing:")
+	for _, id := range req.Shards() {
+		if shard, ok := l.Shards().Resolve(id); ok && shard.State() != shards.Covered {
+			fmt.Fprintf(&out, " %s (%s)", shard.Service(), describeShard(l, shard, now))
+		}
+	}
+	out.WriteString(";")
+	return out.String()
+}
+
+// describeShard describes what a shard without a response is waiting for.
+func describeShard(l *loop.Loop, shard *shards.Row, now time.Duration) string {
+	var waits []string
+	for _, id := range shard.Attempts() {
+		if attempt, ok := l.Attempts().Resolve(id); ok && !attempt.Done() {
+			waits = append(waits, fmt.Sprintf("%s has had the attempt for %s", attempt.Server(), (now-attempt.SentAt()).Round(time.Millisecond)))
+		}
+	}
+	if shard.AttemptPending() {
+		waits = append(waits, fmt.Sprintf("an attempt is queued for %s, needs a token: %t", (now-shard.QueuedAt()).Round(time.Millisecond), shard.NeedsToken()))
+	}
+	if shard.Detail() != "" {
+		waits = append(waits, shard.Detail())
+	}
+	return strings.Join(waits, ", ")
+}
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -9,7 +9,9 @@
 // A request that is not idempotent is retried only after a result that says that
 // it did not run. A refused request is retried while time is left, if necessary
 // at a server that refused it before; package sched takes the token for it from
-// the retry budget.
+// the retry budget. So is an idempotent request whose response was lost, also at the
+// server that lost it: when the servers of many shards lose some of their responses at
+// once, the two servers that a route allows may both have lost theirs.
 package result
 
 import (
@@ -40,7 +42,8 @@
 
 // Backoff of servers that fail.
 const (
-	failureLimit        = 3                      // consecutive failures; one lost response and its retry may count as two
+	failureLimit        = 3                      // consecutive failures, each after a typical latency or later; one lost response and its retry may count as two
+	earlyFailureLimit   = 8                      // consecutive failures with an early one; a server that loses half of its responses has that many within minutes, and few of its requests are slow
 	connectFailureLimit = 2                      // consecutive failures to connect
 	initialBackoff      = 250 * time.Millisecond // doubles with each further failure
 	maxBackoff          = time.Second            // a server that recovers is used again within a second
@@ -51,6 +54,10 @@
 // per shard does not count them.
 const maxMisdirected = 4
 
+// maxLosses bounds the attempts for a shard whose response was lost. They go to servers
+// that were not tried, while the route allows another one, and then to tried ones again.
+const maxLosses = 4
+
 // System processes the results of attempts.
 type System struct{}
 
@@ -138,6 +145,10 @@
 			break // cancelled early, which says nothing about the server
 		}
 		h.SetConnectFailed(false)
+		if attempt.Elapsed() < l.RouteStats().Ensure(attempt.Route()).MeanLatency() {
+			recordFailure(l, attempt, h, now, earlyFailureLimit) // an early failure does not show how fast the server is
+			break
+		}
 		recordLatency(l, attempt, h, now)
 		recordFailure(l, attempt, h, now, failureLimit)
 	}
@@ -195,9 +206,9 @@
 		return
 	}
 	l.MarkChanged(attempt.Request())
-	recordServer(shard, attempt, result)
-	if reachedServer(result) && result.Status().NotRun() {
-		l.Budgets().Ensure(attempt.Service()).SetRefusedAt(now)
+	recordServer(req, shard, attempt, result)
+	if reachedServer(result) && result.Status() != lagoon.StatusOK {
+		l.Budgets().Ensure(attempt.Service()).SetRetriedAt(now)
 	}
 	if result.Status() == lagoon.StatusOK {
 		shard.SetState(shards.Covered)
@@ -234,7 +245,7 @@
 }
 
 // recordServer updates which servers count as tried and which may be retried.
-func recordServer(shard *shards.Row, attempt *tries.Row, result lagoon.AttemptResult) {
+func recordServer(req *reqs.Row, shard *shards.Row, attempt *tries.Row, result lagoon.AttemptResult) {
 	switch {
 	case !reachedServer(result):
 		if attempt.FirstToServer() {
@@ -244,6 +255,10 @@
 		shard.SetExcluded(slices.DeleteFunc(shard.Excluded(), func(id string) bool { return id == attempt.Server() }))
 		shard.SetRefusedBy(append(shard.RefusedBy(), attempt.Server()))
 		shard.SetRefusals(shard.Refusals() + 1)
+	case result.Status() != lagoon.StatusOK && req.Route().Idempotent() && !result.Permanent():
+		shard.SetExcluded(slices.DeleteFunc(shard.Excluded(), func(id string) bool { return id == attempt.Server() }))
+		shard.SetLostBy(append(shard.LostBy(), attempt.Server()))
+		shard.SetLosses(shard.Losses() + 1)
 	}
 }
 
@@ -259,10 +274,10 @@
 	case now >= req.Deadline():
 		return false
 	case !reachedServer(result):
-		return len(shard.Excluded()) <= maxMisdirected && (serversLeft || len(shard.RefusedBy()) > 0)
+		return len(shard.Excluded()) <= maxMisdirected && (serversLeft || len(shard.RefusedBy())+len(shard.LostBy()) > 0)
 	case result.Status().NotRun():
 		return retryRefused(l, req, shard, now)
-	case !req.Route().Idempotent() || result.Permanent() || !(serversLeft || len(shard.RefusedBy()) > 0):
+	case !req.Route().Idempotent() || result.Permanent() || shard.Losses() >= maxLosses:
 		return false
 	}
 	shard.SetNeedsToken(true)
@@ -287,6 +302,6 @@
 func hasUntriedServer(req *reqs.Row, shard *shards.Row) bool {
 	servers := req.View().ServersOf(shard.Service())
 	return slices.ContainsFunc(servers, func(r lagoon.Replica) bool {
-		return !slices.Contains(shard.Excluded(), r.ID()) && !slices.Contains(shard.RefusedBy(), r.ID())
+		return !slices.Contains(shard.Excluded(), r.ID()) && !slices.Contains(shard.RefusedBy(), r.ID()) && !slices.Contains(shard.LostBy(), r.ID())
 	})
 }
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -121,9 +121,10 @@
 		return
 	}
 	shard.SetState(shards.Missing)
-	if shard.Detail() == "" {
-		shard.SetDetail(reason)
+	if shard.Detail() != "" {
+		reason += ", after " + shard.Detail()
 	}
+	shard.SetDetail(reason)
 	req.SetPendingShards(req.PendingShards() - 1)
 	l.MarkChanged(shard.Request())
 }
@@ -192,7 +193,7 @@
 	}
 	self := l.View().Self()
 	mean := l.RouteStats().Ensure(req.Route().Name()).MeanLatency()
-	delay := l.ReplicaPolicy().Delay(replicaView(l, req.Route(), r, h, self.Zone(), now))
+	delay := l.ReplicaPolicy().Delay(replicaView(l, req, r, h, self.Zone(), now))
 	return delay*float64(mean) > latenessFactor*float64(remaining)
 }
 
@@ -204,7 +205,7 @@
 
 // The ranks of a server for an attempt, best first.
 const (
-	rankUntried   = iota // it has not been tried yet
+	rankUsable    = iota // it has not been tried yet, or it lost the response
 	rankRefused          // it refused this request
 	rankBackedOff        // it is in backoff after failures
 	rankExcluded         // it must not be used
@@ -229,7 +230,7 @@
 			full = full || rank < rankBackedOff
 			continue
 		}
-		cost := l.ReplicaPolicy().Cost(replicaView(l, req.Route(), r, h, self.Zone(), now))
+		cost := l.ReplicaPolicy().Cost(replicaView(l, req, r, h, self.Zone(), now))
 		if rank < bestRank || cost < lowestCost {
 			lowestCost, bestRank, best, found = cost, rank, *r, true
 		}
@@ -242,20 +243,21 @@
 }
 
 // rankOf returns a server's rank for an attempt. The route limits the number of
-// servers per shard; a server that refused the request may be retried. When no
-// other server is left, one in backoff gets one attempt at a time, as it may
-// still respond, unless the node failed to connect to it.
+// servers per shard; a server that refused the request or lost its response may be
+// retried. When no other server is left, one in backoff gets one attempt at a time,
+// as it may still respond, unless the node failed to connect to it.
 func rankOf(shard *shards.Row, req *reqs.Row, r *lagoon.Replica, h *health.Row, now time.Duration) int {
 	refused := slices.Contains(shard.RefusedBy(), r.ID())
+	tried := refused || slices.Contains(shard.LostBy(), r.ID())
 	switch {
 	case slices.Contains(shard.Excluded(), r.ID()),
 		h.AddressReusedStart() != 0 && h.AddressReusedStart() == r.StartedMilli(),
-		!refused && shard.TriedServers() > 0 && shard.TriedServers() >= req.Route().MaxAttempts():
+		!tried && shard.TriedServers() > 0 && shard.TriedServers() >= req.Route().MaxAttempts():
 		return rankExcluded
 	case h.BackoffUntil() <= now && refused:
 		return rankRefused
 	case h.BackoffUntil() <= now:
-		return rankUntried
+		return rankUsable
 	case h.ConnectFailed() || h.Inflight() > 0:
 		return rankExcluded
 	}
@@ -309,7 +311,7 @@
 	h.SetNextColdAttempt(max(now, h.NextColdAttempt()) + interval)
 }
 
-func replicaView(l *loop.Loop, route *lagoon.Route, r *lagoon.Replica, h *health.Row, zone string, now time.Duration) lagoon.ReplicaView {
+func replicaView(l *loop.Loop, req *reqs.Row, r *lagoon.Replica, h *health.Row, zone string, now time.Duration) lagoon.ReplicaView {
 	var v lagoon.ReplicaView
 	v.SetSlots(r.Slots())
 	v.SetInflight(h.Inflight())
@@ -319,8 +321,11 @@
 	v.SetCold(l.View().ColdUntilOf(r.ID()) > now)
 	v.SetDraining(r.Draining())
 	v.SetFailureRate(h.FailureRate() * decay(now-h.SampledAt(), latencyDecay))
-	if mean := l.RouteStats().Ensure(route.Name()).MeanLatency(); h.Inflight() > 0 && mean > 0 {
-		v.SetSilence(float64(now-h.SilentSince()) / float64(mean))
+	if mean := float64(l.RouteStats().Ensure(req.Route().Name()).MeanLatency()); mean > 0 {
+		v.SetRemaining(float64(max(req.CallerStart()+req.Route().Objective()-now, 0)) / mean)
+		if h.Inflight() > 0 {
+			v.SetSilence(float64(now-h.SilentSince()) / mean)
+		}
 	}
 	v.SetJitter(l.RandomFloat())
 	return v
@@ -347,10 +352,12 @@
 	shard.SetAttemptPending(false)
 	shard.SetState(shards.Running)
 	shard.SetNeedsToken(false)
-	refused := slices.Contains(shard.RefusedBy(), r.ID())
-	attempt.SetFirstToServer(!refused)
-	if refused {
-		shard.SetRefusedBy(slices.DeleteFunc(shard.RefusedBy(), func(id string) bool { return id == r.ID() }))
+	isServer := func(id string) bool { return id == r.ID() }
+	tried := slices.ContainsFunc(shard.RefusedBy(), isServer) || slices.ContainsFunc(shard.LostBy(), isServer)
+	attempt.SetFirstToServer(!tried)
+	if tried {
+		shard.SetRefusedBy(slices.DeleteFunc(shard.RefusedBy(), isServer))
+		shard.SetLostBy(slices.DeleteFunc(shard.LostBy(), isServer))
 	} else {
 		shard.SetTriedServers(shard.TriedServers() + 1)
 	}
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -58,6 +58,7 @@
 	dropsReplies bool    // runs requests and closes the connection without a response
 	lossRate     float64 // the share of responses that are lost
 	refusalRate  float64 // the share of requests that are refused
+	resetRate    float64 // the share of requests whose connection is reset when they have just started
 	pauseLength  time.Duration
 	pausePeriod  time.Duration
 	pausePhase   time.Duration
@@ -286,6 +287,8 @@
 		case srv.silent:
 		case s.rng.Float64() < srv.refusalRate:
 			s.finish(j, lagoon.StatusRefused)
+		case s.rng.Float64() < srv.resetRate:
+			s.finish(j, lagoon.StatusUnknown)
 		case srv.busySlots < replica.Slots():
 			s.execute(srv, j)
 		case len(srv.queue) < srv.maxQueue:
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -304,7 +304,8 @@
 	Draining        bool    `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
 	FailureRate     float64 `cbor:"8,keyasint,omitempty" json:"faulty,omitempty"`
 	Silence         float64 `cbor:"9,keyasint,omitempty" json:"silence,omitempty"`
-	Jitter          float64 `cbor:"10,keyasint,omitempty" json:"noise,omitempty"`
+	Remaining       float64 `cbor:"10,keyasint,omitempty" json:"remaining,omitempty"`
+	Jitter          float64 `cbor:"11,keyasint,omitempty" json:"noise,omitempty"`
 }
 
 func toReplicaView(v lagoon.ReplicaView) replicaViewForm {
@@ -318,6 +319,7 @@
 		Draining:        v.Draining(),
 		FailureRate:     v.FailureRate(),
 		Silence:         v.Silence(),
+		Remaining:       v.Remaining(),
 		Jitter:          v.Jitter(),
 	}
 }
@@ -333,6 +335,7 @@
 	v.SetDraining(m.Draining)
 	v.SetFailureRate(m.FailureRate)
 	v.SetSilence(m.Silence)
+	v.SetRemaining(m.Remaining)
 	v.SetJitter(m.Jitter)
 	return v
 }
--- a/pkg/score/score.go
+++ b/pkg/score/score.go
@@ -11,7 +11,9 @@
 // availability zones cost more, because network latency is higher and traffic between
 // zones is billed. The cost also rises when a replica has not responded for longer
 // than nearly all responses take: it may be paused or down, which silence indicates
-// before any request fails.
+// before any request fails. It rises most when the response is expected too late: a
+// replica that is fast and loses some of its responses is better than one that is so
+// slow that its response counts for nothing.
 package score
 
 import "github.com/lagoontrail/lagoon"
@@ -26,6 +28,7 @@
 	failureWeight      = 12.0 // a lost response costs a hedge or a missing shard, which is several response times
 	silenceThreshold   = 2.5  // in typical response times; few responses take longer
 	maxSilenceFactor   = 10
+	lateFactor         = 10.0 // more than the cost of a replica that loses most of its responses
 	jitterWeight       = 0.1  // prevents nodes with similar views from selecting the same replica
 	drainingCost       = 1000 // higher than all other costs: a last resort
 )
@@ -36,7 +39,11 @@
 // Cost returns the cost of sending a request to a replica.
 func (Policy) Cost(v lagoon.ReplicaView) float64 {
 	slots, load := slotsAndLoad(v)
-	cost := max(v.RelativeLatency(), minRelativeLatency) * (queueingDelay(slots, load) + utilizationWeight*load/slots + inflightWeight*float64(v.Inflight()))
+	latency := max(v.RelativeLatency(), minRelativeLatency)
+	cost := latency * (queueingDelay(slots, load) + utilizationWeight*load/slots + inflightWeight*float64(v.Inflight()))
+	if v.Remaining() > 0 && latency*queueingDelay(slots, load) > v.Remaining() {
+		cost *= lateFactor
+	}
 	if !v.SameZone() {
 		cost *= otherZoneFactor
 	}
