Wait for pushes and for the list of members before calling the store

Cause: 83 to 127 of 130 nodes read each change of the catalog from the store, because a heartbeat announced it before the push arrived, which takes a hub of a large fleet some tenths of a second. After a power loss of all nodes each read all topics (390 calls), as a small node needs more than 0.1 s for the list of members and then no longer waited.

Change: a gap that a heartbeat reveals is read only if no push fills it within 0.5 s; a starting node waits for the members as long as a call may take.

Before: 376 calls, at most 80 wanted, in TestSlowPushesCauseNoCalls, 248 and 80 in TestLargeFleetStartsOnFewCallsWhenReadsTakeLong. After: both pass.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -21,6 +21,7 @@
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/internal/direct/topics"
 )
 
 // Heartbeat intervals and timeouts.
@@ -30,6 +31,7 @@
 	NodeTimeout            = 2 * time.Second         // without a heartbeat before a node counts as failed; callers may be referred to a failed node for at most 7 s
 	HubTimeout             = 1200 * time.Millisecond // without a heartbeat before a hub is not relied on; allows for two lost heartbeats
 	cutOffAfter            = 1200 * time.Millisecond // without a registry response before another node becomes a hub; allows for one lost response and a retry
+	pushWait               = 500 * time.Millisecond  // for an update that a heartbeat announced and that a hub has not pushed yet; the update is in force within 3 s all the same
 	forgetTimeout          = 20 * time.Second        // without a heartbeat before a node no longer counts towards shares of the servers' limits
 )
 
@@ -140,7 +142,7 @@
 
 // applyHubState applies a hub's report on the registry: whether it responds, and the
 // revision up to which the hub has received each topic. A topic that changed after
-// the revision held here is marked to be read from the registry.
+// the revision held here is marked to be read from the registry unless it is pushed soon.
 func applyHubState(s *state.State, m *lagoon.Heartbeat, now time.Duration) {
 	if m.CallsFailingFor() > 0 {
 		s.SetRegistryLostAt(now)
@@ -154,7 +156,7 @@
 		switch {
 		case !ok || !row.Synced():
 		case row.Revision() < remote.Changed():
-			row.SetGap(true)
+			markGap(row, remote.Changed(), now)
 		case !row.Gap():
 			row.SetRevision(max(row.Revision(), remote.Revision()))
 			row.SetConfirmedAt(max(row.ConfirmedAt(), now-remote.Age()))
@@ -162,6 +164,17 @@
 	}
 }
 
+// markGap records that updates up to a revision are missing. The registry is called only
+// after pushWait, as the push of an update to all nodes of a large fleet takes a hub
+// longer than the heartbeats that announce the update.
+func markGap(row *topics.Row, revision uint64, now time.Duration) {
+	if !row.Gap() {
+		row.SetRetryAt(max(row.RetryAt(), now+pushWait))
+	}
+	row.SetGap(true)
+	row.SetGapRevision(max(row.GapRevision(), revision))
+}
+
 // updateLive updates whether a node counts as live: it sent a heartbeat within
 // NodeTimeout, or a live hub lists it.
 func updateLive(s *state.State, row *peers.Row, hubs []*peers.Row, now time.Duration) {
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -42,6 +42,16 @@
 	calls             int                       // registry calls made so far
 	rosterNamesSent   int                       // names of nodes in the heartbeats sent so far
 	dropMessage       func(from, to *node) bool // reports whether to lose a message
+	responseTime      time.Duration             // of the registry; 10 ms if 0
+	pushDelay         time.Duration             // until a push arrives, while heartbeats arrive at once
+	delayed           []delivery                // the pushes on their way
+}
+
+// delivery is a message that arrives later.
+type delivery struct {
+	at time.Duration
+	to *node
+	m  lagoon.Message
 }
 
 // node is one node of the fleet.
@@ -161,6 +171,10 @@
 			if heartbeat, ok := m.(*lagoon.Heartbeat); ok {
 				n.fleet.rosterNamesSent += len(heartbeat.RosterAdded()) + len(heartbeat.RosterRemoved())
 			}
+			if _, ok := m.(*lagoon.RegistryPush); ok && n.fleet.pushDelay > 0 {
+				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.pushDelay, to, m})
+				return true
+			}
 			to.mailbox = append(to.mailbox, m)
 			return true
 		}
@@ -241,7 +255,7 @@
 				continue
 			}
 			result.SetErr(errors.New("no response"))
-		case f.now-p.startedAt < 10*time.Millisecond:
+		case f.now-p.startedAt < max(f.responseTime, 10*time.Millisecond):
 			remaining = append(remaining, p)
 			continue
 		case p.watch && p.after < f.compactedRevision:
@@ -270,6 +284,7 @@
 // run advances virtual time.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += tickStep {
+		f.deliver()
 		for _, n := range f.nodes {
 			if n.down {
 				continue
@@ -281,6 +296,19 @@
 	}
 }
 
+// deliver delivers the messages that have arrived.
+func (f *fleet) deliver() {
+	var remaining []delivery
+	for _, d := range f.delayed {
+		if f.now < d.at {
+			remaining = append(remaining, d)
+			continue
+		}
+		d.to.mailbox = append(d.to.mailbox, d.m)
+	}
+	f.delayed = remaining
+}
+
 // changeCatalog writes a new catalog.
 func (f *fleet) changeCatalog() {
 	f.revision++
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -127,10 +127,11 @@
 		return
 	case !update.Full() && (!row.Synced() || update.Previous() > row.Revision()):
 		row.SetGap(true)
+		row.SetGapRevision(max(row.GapRevision(), update.Revision()))
 		return
 	}
 	apply(s, update, changedSince(s, row, update, now), now)
-	if update.Full() {
+	if update.Full() || update.Revision() >= row.GapRevision() {
 		row.SetGap(false)
 	}
 	row.SetRevision(update.Revision())
--- a/internal/direct/ctrl/pull/pull.go
+++ b/internal/direct/ctrl/pull/pull.go
@@ -32,8 +32,9 @@
 const smallFleetPeers = 24
 
 // membersWait is how long a starting node waits for the members before it reads
-// the other topics as well; a typical call takes a few milliseconds.
-const membersWait = 100 * time.Millisecond
+// the other topics as well. A small node takes some tenths of a second to read those of
+// a large fleet; a call without a response fails after shortTimeout.
+const membersWait = shortTimeout
 
 // paceNodes is the number of nodes that may each call an unreachable registry once per
 // MaxRetryDelay. In a larger fleet with hubs, the nodes call it less often, so that
--- a/internal/direct/ctrl/scale_test.go
+++ b/internal/direct/ctrl/scale_test.go
@@ -103,6 +103,50 @@
 	}
 }
 
+// The list of members of a large fleet takes a small node some tenths of a second to
+// read. It waits for the list, and then for a hub, instead of reading all topics.
+func TestLargeFleetStartsOnFewCallsWhenReadsTakeLong(t *testing.T) {
+	f := newFleet(t, 60)
+	f.announce("s1", false)
+	f.run(5 * time.Second)
+	f.hubWait, f.largeNodes, f.responseTime = 1500*time.Millisecond, 4, 200*time.Millisecond
+	before := f.calls
+	for _, n := range f.nodes {
+		f.start(n.self.Name(), n.self.Zone())
+	}
+	f.run(time.Second)
+	for _, n := range f.nodes {
+		if !n.publishedView.Load().Synced() {
+			t.Errorf("%s: 1 s after the start: got a view without catalog or servers, want both", n.self.Name())
+		}
+	}
+	if got, most := f.calls-before, 60+3*f.largeNodes+4*beats.HubCount; got > most {
+		t.Errorf("calls: got %d, want at most %d", got, most)
+	}
+}
+
+// The push of a change takes a hub of a large fleet some time, as it goes to every node.
+// Heartbeats that announce the change sooner do not make the nodes read it.
+func TestSlowPushesCauseNoCalls(t *testing.T) {
+	f := newFleet(t, 60)
+	f.announce("s1", false)
+	f.run(5 * time.Second)
+	f.pushDelay = 250 * time.Millisecond
+	before := f.calls
+	const changes = 5
+	for range changes {
+		f.changeCatalog()
+		f.announce("s1", false)
+		f.run(1700 * time.Millisecond)
+		f.checkInForce("after a change")
+	}
+	// Each of two hubs calls at most once every 2 s for each of four topics, and up to
+	// twice for each change of two topics.
+	if got, most := f.calls-before, beats.HubCount*(4*5+2*2*changes); got > most {
+		t.Errorf("calls: got %d, want at most %d", got, most)
+	}
+}
+
 // A large fleet also gets all topics within 1.7 s if its hubs do not start again, and
 // within 0.1 s on the nodes that callers are referred to.
 func TestLargeFleetStartsWithoutItsHubs(t *testing.T) {
--- a/internal/direct/topics/accessors_gen.go
+++ b/internal/direct/topics/accessors_gen.go
@@ -47,12 +47,18 @@
 // SetProbe sets whether the call in progress probes a registry that was unreachable.
 func (v *Row) SetProbe(x bool) { v.probe = x }
 
-// Gap returns whether an update was missed, so that the registry is called without delay.
+// Gap returns whether an update is missing, so that the registry is called unless a hub pushes it soon.
 func (v *Row) Gap() bool { return v.gap }
 
-// SetGap sets whether an update was missed, so that the registry is called without delay.
+// SetGap sets whether an update is missing, so that the registry is called unless a hub pushes it soon.
 func (v *Row) SetGap(x bool) { v.gap = x }
 
+// GapRevision returns the registry revision up to which updates are missing while gap is set.
+func (v *Row) GapRevision() uint64 { return v.gapRevision }
+
+// SetGapRevision sets the registry revision up to which updates are missing while gap is set.
+func (v *Row) SetGapRevision(x uint64) { v.gapRevision = x }
+
 // RetryAt returns when the registry may be called again.
 func (v *Row) RetryAt() time.Duration { return v.retryAt }
 
--- a/internal/direct/topics/topics.go
+++ b/internal/direct/topics/topics.go
@@ -23,7 +23,8 @@
 	calling     bool          // whether a registry call is in progress
 	confirmedAt time.Duration // when the registry, directly or through a hub, last confirmed that no change is missing
 	probe       bool          // whether the call in progress probes a registry that was unreachable
-	gap         bool          // whether an update was missed, so that the registry is called without delay
+	gap         bool          // whether an update is missing, so that the registry is called unless a hub pushes it soon
+	gapRevision uint64        // the registry revision up to which updates are missing while gap is set
 	retryAt     time.Duration // when the registry may be called again
 	failures    int           // the number of consecutive failed calls
 }
