Keep requests in the zone, and send whole topics to a starting node once

Cause: on the large site 62 % of the attempts went to other zones, though 43 % of these had a server in the node's zone: one request in flight there cost more than another zone. Both hubs sent all topics to each node that starts, the largest messages of all.

Change: another zone costs 2.5 instead of 1.6, which is more than a second request at the same server. The hub of the node's zone, or the first one, sends the topics; the other one does so 0.8 s later if the node still lacks them.

Before: TestRequestsStayInTheZone 0.32 of the attempts, at most 0.2 wanted; TestOneHubSendsWholeTopics 320 topics sent, 160 wanted. After: both pass.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -47,7 +47,7 @@
 	for _, m := range s.Heartbeats() {
 		receive(s, m, now)
 	}
-	hubs := liveHubs(s, now)
+	hubs := LiveHubs(s, now)
 	for i := range s.Peers().Len() {
 		updateLive(s, s.Peers().At(i), hubs, now)
 	}
@@ -203,8 +203,8 @@
 	return slices.ContainsFunc(hubs, func(row *peers.Row) bool { return row.Roster()[name] })
 }
 
-// liveHubs returns the hubs that sent a heartbeat within NodeTimeout.
-func liveHubs(s *state.State, now time.Duration) []*peers.Row {
+// LiveHubs returns the hubs that sent a heartbeat within NodeTimeout.
+func LiveHubs(s *state.State, now time.Duration) []*peers.Row {
 	var out []*peers.Row
 	for i := range s.Peers().Len() {
 		if row := s.Peers().At(i); row.Hub() && heartbeatWithin(row, now, NodeTimeout) {
--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -68,7 +68,7 @@
 		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.member.Zone(), y.member.Zone()))
 	})
 	var out, cutOff []string
-	hubs := liveHubs(s, now)
+	hubs := LiveHubs(s, now)
 	for _, c := range order {
 		if isCutOff(s, hubs, c.member.Name(), now) {
 			cutOff = append(cutOff, c.member.Name())
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -40,6 +40,7 @@
 	registryDown      bool                      // accepts calls and never responds
 	watchesHang       bool                      // never responds to the watches that are pending now
 	calls             int                       // registry calls made so far
+	fullPushes        int                       // pushes of whole topics sent so far
 	rosterNamesSent   int                       // names of nodes in the heartbeats sent so far
 	dropMessage       func(from, to *node) bool // reports whether to lose a message
 	responseTime      time.Duration             // of the registry; 10 ms if 0
@@ -171,7 +172,13 @@
 			if heartbeat, ok := m.(*lagoon.Heartbeat); ok {
 				n.fleet.rosterNamesSent += len(heartbeat.RosterAdded()) + len(heartbeat.RosterRemoved())
 			}
-			if _, ok := m.(*lagoon.RegistryPush); ok && n.fleet.pushDelay > 0 {
+			push, isPush := m.(*lagoon.RegistryPush)
+			if isPush {
+				if update := push.Update(); update.Full() {
+					n.fleet.fullPushes++
+				}
+			}
+			if isPush && n.fleet.pushDelay > 0 {
 				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.pushDelay, to, m})
 				return true
 			}
--- a/internal/direct/ctrl/push/push.go
+++ b/internal/direct/ctrl/push/push.go
@@ -5,7 +5,8 @@
 //	systems = append(systems, push.System{})
 //
 // A hub's heartbeats carry the revision of each topic, so a node detects an update
-// that it missed. A node that has just started is sent all topics in full.
+// that it missed. A node that has just started is sent all topics in full, by one of the
+// hubs, as these are the largest messages.
 package push
 
 import (
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
@@ -22,6 +24,11 @@
 // update. It spans two heartbeats, in which the node reports that.
 const resendInterval = time.Second
 
+// backupDelay is how long after a node has started another hub waits before it sends the
+// node all topics as well. It spans the heartbeat by which the node reports that it has
+// them, and is shorter than the time for which the node waits for a hub.
+const backupDelay = 800 * time.Millisecond
+
 // System pushes updates.
 type System struct{}
 
@@ -42,23 +49,40 @@
 	}
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
-		if s.CatalogKnown() && s.ServersKnown() && needsFullState(row, now) && sendFullState(s, row) {
+		if s.CatalogKnown() && s.ServersKnown() && needsFullState(s, row, now) && sendFullState(s, row) {
 			row.SetPushedStartID(row.Member().StartID())
 			row.SetPushedAt(now)
 		}
 	}
 }
 
-// needsFullState reports whether a node needs all topics: it has just started, or
-// it missed an update and its registry calls fail.
-func needsFullState(row *peers.Row, now time.Duration) bool {
-	if row.HeartbeatAt() == 0 {
+// needsFullState reports whether this hub is to send a node all topics: the node has just
+// started, or it missed an update and its registry calls fail.
+func needsFullState(s *state.State, row *peers.Row, now time.Duration) bool {
+	switch {
+	case row.HeartbeatAt() == 0:
 		return false
-	}
-	if row.NeedsUpdate() {
+	case row.NeedsUpdate():
 		return now-row.PushedAt() >= resendInterval
+	case row.Ready() || row.PushedStartID() == row.Member().StartID():
+		return false
+	}
+	return now-row.KnownAt() >= backupDelay || isFirstHub(s, row.Member(), now)
+}
+
+// isFirstHub reports whether this hub is the one that serves a starting node: the first
+// by name of the live hubs in the node's availability zone, or of all live hubs.
+func isFirstHub(s *state.State, m lagoon.Member, now time.Duration) bool {
+	first := s.Self()
+	for _, row := range beats.LiveHubs(s, now) {
+		hub := row.Member()
+		near, nearFirst := hub.Zone() == m.Zone(), first.Zone() == m.Zone()
+		if (near && !nearFirst) || (near == nearFirst && hub.Name() < first.Name()) {
+			first = hub
+		}
 	}
-	return !row.Ready() && row.PushedStartID() != row.Member().StartID()
+	self := s.Self()
+	return first.Name() == self.Name()
 }
 
 // sendFullState sends a node all topics and reports whether they were sent. The
--- a/internal/direct/ctrl/scale_test.go
+++ b/internal/direct/ctrl/scale_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
 )
 
@@ -125,6 +126,37 @@
 	}
 }
 
+// The whole topics are the largest messages. One hub sends them to a node that starts;
+// the other hub does so only if the node still lacks them later.
+func TestOneHubSendsWholeTopics(t *testing.T) {
+	for name, firstHubFails := range map[string]bool{"both hubs run": false, "one hub does not push": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 60)
+			f.announce("s1", false)
+			f.run(5 * time.Second)
+			f.hubWait, f.largeNodes = 1500*time.Millisecond, 4
+			silent := f.hubs()[0].self.Name()
+			f.dropMessage = func(from, _ *node) bool {
+				return firstHubFails && from.self.Name() == silent
+			}
+			var started []*node
+			for _, n := range f.nodes[20:] {
+				started = append(started, f.start(n.self.Name(), n.self.Zone()))
+			}
+			f.fullPushes = 0
+			f.run(1200 * time.Millisecond)
+			for _, n := range started {
+				if !n.publishedView.Load().Synced() {
+					t.Errorf("%s: 1.2 s after the start: got a view without catalog or servers, want both", n.self.Name())
+				}
+			}
+			if got, most := f.fullPushes, len(started)*len(lagoon.Topics); got > most {
+				t.Errorf("whole topics sent: got %d, want at most %d", got, most)
+			}
+		})
+	}
+}
+
 // The push of a change takes a hub of a large fleet some time, as it goes to every node.
 // Heartbeats that announce the change sooner do not make the nodes read it.
 func TestSlowPushesCauseNoCalls(t *testing.T) {
--- a/internal/direct/trfc/losses_test.go
+++ b/internal/direct/trfc/losses_test.go
@@ -81,3 +81,24 @@
 		tried[a.ID()] = replica.ID()
 	}
 }
+
+// While the servers of the node's zone have free slots, most requests stay in the zone:
+// traffic between zones adds latency and is billed.
+func TestRequestsStayInTheZone(t *testing.T) {
+	s := newSim(t, 46)
+	s.publish(gatherRoute(s.addShards(36, 20*time.Millisecond)))
+	s.runLoad(20, 2*time.Second)
+	s.attempts = nil
+	s.runLoad(20, 8*time.Second)
+	other := 0
+	for _, a := range s.attempts {
+		if replica := a.Replica(); replica.Zone() != "a" {
+			other++
+		}
+	}
+	// A server of the zone has 20 requests a second of 21 ms. By Poisson, a third of them
+	// find another one running and 7 % find two or more, of four slots.
+	if got, want := float64(other)/float64(len(s.attempts)), 0.2; got > want {
+		t.Errorf("share of attempts in other zones: got %.2f, want at most %.2f", got, want)
+	}
+}
--- a/pkg/score/score.go
+++ b/pkg/score/score.go
@@ -23,7 +23,7 @@
 	minRelativeLatency = 0.3  // limits the effect of a few fast responses
 	utilizationWeight  = 0.25 // servers slow down as their slots fill
 	inflightWeight     = 1.0  // per request from this node; there are few unless the server is slow or paused
-	otherZoneFactor    = 1.6  // traffic between zones costs about a sixth of the value of a response
+	otherZoneFactor    = 2.5  // traffic between zones costs about a sixth of the value of a response; a second request at the same server costs more
 	coldFactor         = 1.6  // about the slowdown of a server that has just started
 	failureWeight      = 12.0 // a lost response costs a hedge or a missing shard, which is several response times
 	silenceThreshold   = 2.5  // in typical response times; few responses take longer
