Drop shards only if the response does without them, prefer free servers nearby

Half of the failures came within 20 ms, 'the retry budget is used up': a request past its objective that found no token was failed at once, though it had a second until its deadline. The preference for the own zone also held for servers with a queue and for those that fail.

Change: a late request waits for a token if its response needs the shard. Package choose holds the choice of a server; sched keeps when an attempt is sent.

Before: TestLateRequestWaitsForRetryBudget 15 of 24 served, 18 wanted. After: it passes.

--- /dev/null
+++ b/internal/direct/trfc/choose/choose.go
@@ -0,0 +1,176 @@
+// Package choose chooses the server for an attempt of a shard.
+//
+// # Usage
+//
+//	replica, found, full := choose.Best(l, shard, req, now)
+//	delay, known := choose.Delay(l, req, &replica, now)
+//
+// A server is chosen by its rank for the shard's request and then by the cost that the
+// replica policy gives it. The package also divides the limits that all nodes share: a
+// server's connections, and the rate of requests to a cold server.
+package choose
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/health"
+	"github.com/lagoontrail/lagoon/internal/direct/loop"
+	"github.com/lagoontrail/lagoon/internal/direct/reqs"
+	"github.com/lagoontrail/lagoon/internal/direct/shards"
+)
+
+// Time constants of the exponential decay of observations.
+const (
+	latencyDecay = 5 * time.Second        // for latency and failures, so that a server that was slow is tried again
+	loadDecay    = 100 * time.Millisecond // for a server's reported load: the time of a few responses
+)
+
+// connShare is the share of a server's connections that the known nodes use. The
+// rest is for nodes that are not known yet.
+const connShare = 0.85
+
+// The ranks of a server for an attempt, best first.
+const (
+	rankUsable    = iota // it has not been tried yet, or it lost the response
+	rankRefused          // it refused this request
+	rankBackedOff        // it is in backoff after failures
+	rankExcluded         // it must not be used
+)
+
+// Best returns the best usable server. full reports whether a server that is
+// not in backoff is unusable only because this node has reached its share of the
+// server's connections or of its rate limit while cold.
+func Best(l *loop.Loop, shard *shards.Row, req *reqs.Row, now time.Duration) (best lagoon.Replica, found, full bool) {
+	view := l.View()
+	servers := view.ServersOf(shard.Service())
+	self := view.Self()
+	lowestCost, bestRank := math.Inf(1), rankExcluded
+	for i := range servers {
+		r := &servers[i]
+		h := HealthOf(l, r)
+		rank := rankOf(shard, req, r, h, now)
+		if rank >= rankExcluded || rank > bestRank {
+			continue
+		}
+		if h.Inflight() >= maxInflight(l, shard.Service()) || !coldAllowed(l, r, h, now) {
+			full = full || rank < rankBackedOff
+			continue
+		}
+		cost := l.ReplicaPolicy().Cost(replicaView(l, req, r, h, self.Zone(), now))
+		if rank < bestRank || cost < lowestCost {
+			lowestCost, bestRank, best, found = cost, rank, *r, true
+		}
+	}
+	// It is better to wait for a server without capacity than to use one in backoff.
+	if full && bestRank == rankBackedOff {
+		return lagoon.Replica{}, false, true
+	}
+	return best, found, full
+}
+
+// rankOf returns a server's rank for an attempt. The route limits the number of
+// servers per shard; a server that refused the request or lost its response may be
+// retried. When no other server is left, one in backoff gets one attempt at a time,
+// as it may still respond, unless the node failed to connect to it.
+func rankOf(shard *shards.Row, req *reqs.Row, r *lagoon.Replica, h *health.Row, now time.Duration) int {
+	refused := slices.Contains(shard.RefusedBy(), r.ID())
+	tried := refused || slices.Contains(shard.LostBy(), r.ID())
+	switch {
+	case slices.Contains(shard.Excluded(), r.ID()),
+		h.AddressReusedStart() != 0 && h.AddressReusedStart() == r.StartedMilli(),
+		!tried && shard.TriedServers() > 0 && shard.TriedServers() >= req.Route().MaxAttempts():
+		return rankExcluded
+	case h.BackoffUntil() <= now && refused:
+		return rankRefused
+	case h.BackoffUntil() <= now:
+		return rankUsable
+	case h.ConnectFailed() || h.Inflight() > 0:
+		return rankExcluded
+	}
+	return rankBackedOff
+}
+
+// HealthOf returns the health of a server and resets it when the server has
+// restarted.
+func HealthOf(l *loop.Loop, r *lagoon.Replica) *health.Row {
+	h := l.Health().Ensure(r.ID())
+	if h.StartedMilli() != r.StartedMilli() {
+		inflight := h.Inflight()
+		*h = health.Row{}
+		h.SetStartedMilli(r.StartedMilli())
+		h.SetInflight(inflight)
+	}
+	return h
+}
+
+// maxInflight returns the number of attempts that this node may have in flight at
+// one server: its share of the server's connections, at least 1.
+func maxInflight(l *loop.Loop, service string) int {
+	return max(1, int(min(ConnectionShare(l, service), math.MaxInt32)))
+}
+
+// ConnectionShare returns this node's share of each server's connections. It is
+// below 1 when there are more nodes than connections.
+func ConnectionShare(l *loop.Loop, service string) float64 {
+	pool := l.View().Pool(service)
+	if pool.MaxConns() == 0 {
+		return math.Inf(1)
+	}
+	return connShare * float64(pool.MaxConns()) / max(l.View().ShareDivisor(), 1)
+}
+
+// coldAllowed reports whether the rate limit of a cold server allows an attempt
+// by this node. It is true for servers that are not cold.
+func coldAllowed(l *loop.Loop, r *lagoon.Replica, h *health.Row, now time.Duration) bool {
+	pool := l.View().Pool(r.Service())
+	return pool.ColdPerSecond() == 0 || l.View().ColdUntilOf(r.ID()) <= now || h.NextColdAttempt() <= now
+}
+
+// CountColdAttempt counts an attempt against this node's share of a cold server's
+// rate limit.
+func CountColdAttempt(l *loop.Loop, r *lagoon.Replica, h *health.Row, now time.Duration) {
+	pool := l.View().Pool(r.Service())
+	if pool.ColdPerSecond() == 0 || l.View().ColdUntilOf(r.ID()) <= now {
+		return
+	}
+	interval := time.Duration(float64(time.Second) * max(l.View().ShareDivisor(), 1) / pool.ColdPerSecond())
+	h.SetNextColdAttempt(max(now, h.NextColdAttempt()) + interval)
+}
+
+func replicaView(l *loop.Loop, req *reqs.Row, r *lagoon.Replica, h *health.Row, zone string, now time.Duration) lagoon.ReplicaView {
+	var v lagoon.ReplicaView
+	v.SetSlots(r.Slots())
+	v.SetInflight(h.Inflight())
+	v.SetQueued(h.ReportedLoad() * decay(now-h.ReportedAt(), loadDecay))
+	v.SetRelativeLatency(1 + h.ExcessLatency()*decay(now-h.SampledAt(), latencyDecay))
+	v.SetSameZone(r.Zone() == zone)
+	v.SetCold(l.View().ColdUntilOf(r.ID()) > now)
+	v.SetDraining(r.Draining())
+	v.SetFailureRate(h.FailureRate() * decay(now-h.SampledAt(), latencyDecay))
+	if mean := float64(l.RouteStats().Ensure(req.Route().Name()).MeanLatency()); mean > 0 {
+		v.SetRemaining(float64(max(req.CallerStart()+req.Route().Objective()-now, 0)) / mean)
+		if h.Inflight() > 0 {
+			v.SetSilence(float64(now-h.SilentSince()) / mean)
+		}
+	}
+	v.SetJitter(l.RandomFloat())
+	return v
+}
+
+func decay(age, constant time.Duration) float64 { return math.Exp(-float64(age) / float64(constant)) }
+
+// Delay returns the time in which a server is expected to respond, from the requests that
+// it has. known is false if the server has not reported its load recently.
+func Delay(l *loop.Loop, req *reqs.Row, r *lagoon.Replica, now time.Duration) (delay time.Duration, known bool) {
+	h := HealthOf(l, r)
+	if now-h.ReportedAt() > loadDecay {
+		return 0, false
+	}
+	self := l.View().Self()
+	mean := l.RouteStats().Ensure(req.Route().Name()).MeanLatency()
+	relative := l.ReplicaPolicy().Delay(replicaView(l, req, r, h, self.Zone(), now))
+	return time.Duration(relative * float64(mean)), true
+}
--- a/internal/direct/trfc/losses_test.go
+++ b/internal/direct/trfc/losses_test.go
@@ -102,3 +102,37 @@
 		t.Errorf("share of attempts in other zones: got %.2f, want at most %.2f", got, want)
 	}
 }
+
+// A request that is past its objective and needs a shard that refused it waits for a
+// token of the retry budget until its deadline, as it cannot be answered without it.
+func TestLateRequestWaitsForRetryBudget(t *testing.T) {
+	s := newSim(t, 47)
+	s.loop.SetExtraSlack(400) // adds 19 tokens a second while requests arrive
+	names := s.addShards(10, 20*time.Millisecond)
+	route := gatherRoute(names)
+	route.SetMinCoverage(1)
+	s.publish(route)
+	for _, zone := range []string{"a", "b", "c"} {
+		s.servers[names[0]+zone].refusalRate = 0.5
+	}
+	const total = 1500 * time.Millisecond
+	s.submitWithTimeout(total)
+	const requests = 24
+	var late []*request
+	for range requests {
+		late = append(late, s.submitWithTimeout(total-200*time.Millisecond)) // the caller is past its objective
+		s.runUntil(s.now + 5*time.Millisecond)
+	}
+	s.runLoad(5, 1200*time.Millisecond)
+	served := 0
+	for _, q := range late {
+		if q.response.Outcome() == lagoon.RequestGathered {
+			served++
+		}
+	}
+	// Each takes one extra attempt on average, as do six more requests, and there are
+	// tokens for 23 in 1.2 s.
+	if got, want := served, requests*3/4; got < want {
+		t.Errorf("served: got %d of %d, want at least %d", got, requests, want)
+	}
+}
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -16,34 +16,23 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
-	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/choose"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
 
-// Time constants of the exponential decay of observations.
-const (
-	latencyDecay = 5 * time.Second        // for latency and failures, so that a server that was slow is tried again
-	loadDecay    = 100 * time.Millisecond // for a server's reported load: the time of a few responses
-)
-
-// connShare is the share of a server's connections that the known nodes use. The
-// rest is for nodes that are not known yet.
-const connShare = 0.85
-
 // latenessFactor is the ratio of expected delay to remaining time above which a
-// response is considered too late. The load behind the estimate may be as old as
-// loadDecay. With a lower factor, shards of servers that are barely too busy are
+// response is considered too late. The load behind the estimate may be a tenth of a
+// second old. With a lower factor, shards of servers that are barely too busy are
 // dropped although they would have been in time.
 const latenessFactor = 1.2
 
@@ -108,7 +97,7 @@
 
 // dropIfUnservable drops a shard's attempt if no server may respond to it.
 func dropIfUnservable(l *loop.Loop, shard *shards.Row, req *reqs.Row, now time.Duration) {
-	if _, found, full := chooseServer(l, shard, req, now); !found && !full {
+	if _, found, full := choose.Best(l, shard, req, now); !found && !full {
 		dropAttempt(l, shard, req, "no server is available")
 	}
 }
@@ -162,13 +151,13 @@
 		l.Enqueue(id)
 		return
 	}
-	replica, found, full := chooseServer(l, shard, req, now)
+	replica, found, full := choose.Best(l, shard, req, now)
 	switch {
 	case found && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
 	case found && takeToken(l, shard):
 		start(l, id, shard, req, replica, now)
-	case found && now-req.CallerStart() >= req.Route().Objective():
+	case found && now-req.CallerStart() >= req.Route().Objective() && sufficientWithout(shard, req):
 		dropAttempt(l, shard, req, "the retry budget is used up")
 	case found || full:
 		l.Enqueue(id)
@@ -180,21 +169,24 @@
 // respondsTooLate reports whether a server's response is expected only after the
 // request has been answered without it.
 func respondsTooLate(l *loop.Loop, shard *shards.Row, req *reqs.Row, r *lagoon.Replica, now time.Duration) bool {
-	if len(req.Route().Shards()) == 0 || (shard.Inflight() == 0 && !finish.Sufficient(req, req.CoveredShards()+req.PendingShards()-1)) {
+	if len(req.Route().Shards()) == 0 || !sufficientWithout(shard, req) {
 		return false
 	}
-	h := healthOf(l, r)
-	if now-h.ReportedAt() > loadDecay {
-		return false // its load is not known
+	delay, known := choose.Delay(l, req, r, now)
+	if !known {
+		return false
 	}
 	respond, remaining := l.PartialPolicy().Respond(finish.PartialView(req, now))
 	if respond {
 		return false // the request is late already and takes any response
 	}
-	self := l.View().Self()
-	mean := l.RouteStats().Ensure(req.Route().Name()).MeanLatency()
-	delay := l.ReplicaPolicy().Delay(replicaView(l, req, r, h, self.Zone(), now))
-	return delay*float64(mean) > latenessFactor*float64(remaining)
+	return float64(delay) > latenessFactor*float64(remaining)
+}
+
+// sufficientWithout reports whether the request can still be answered if the pending
+// attempt of a shard is dropped.
+func sufficientWithout(shard *shards.Row, req *reqs.Row) bool {
+	return shard.Inflight() > 0 || finish.Sufficient(req, req.CoveredShards()+req.PendingShards()-1)
 }
 
 // takeToken takes a token from the retry budget if the next attempt needs one,
@@ -203,144 +195,14 @@
 	return !shard.NeedsToken() || l.Budgets().Ensure(shard.Service()).TokensRef().Take()
 }
 
-// The ranks of a server for an attempt, best first.
-const (
-	rankUsable    = iota // it has not been tried yet, or it lost the response
-	rankRefused          // it refused this request
-	rankBackedOff        // it is in backoff after failures
-	rankExcluded         // it must not be used
-)
-
-// chooseServer returns the best usable server. full reports whether a server that is
-// not in backoff is unusable only because this node has reached its share of the
-// server's connections or of its rate limit while cold.
-func chooseServer(l *loop.Loop, shard *shards.Row, req *reqs.Row, now time.Duration) (best lagoon.Replica, found, full bool) {
-	view := l.View()
-	servers := view.ServersOf(shard.Service())
-	self := view.Self()
-	lowestCost, bestRank := math.Inf(1), rankExcluded
-	for i := range servers {
-		r := &servers[i]
-		h := healthOf(l, r)
-		rank := rankOf(shard, req, r, h, now)
-		if rank >= rankExcluded || rank > bestRank {
-			continue
-		}
-		if h.Inflight() >= maxInflight(l, shard.Service()) || !coldAllowed(l, r, h, now) {
-			full = full || rank < rankBackedOff
-			continue
-		}
-		cost := l.ReplicaPolicy().Cost(replicaView(l, req, r, h, self.Zone(), now))
-		if rank < bestRank || cost < lowestCost {
-			lowestCost, bestRank, best, found = cost, rank, *r, true
-		}
-	}
-	// It is better to wait for a server without capacity than to use one in backoff.
-	if full && bestRank == rankBackedOff {
-		return lagoon.Replica{}, false, true
-	}
-	return best, found, full
-}
-
-// rankOf returns a server's rank for an attempt. The route limits the number of
-// servers per shard; a server that refused the request or lost its response may be
-// retried. When no other server is left, one in backoff gets one attempt at a time,
-// as it may still respond, unless the node failed to connect to it.
-func rankOf(shard *shards.Row, req *reqs.Row, r *lagoon.Replica, h *health.Row, now time.Duration) int {
-	refused := slices.Contains(shard.RefusedBy(), r.ID())
-	tried := refused || slices.Contains(shard.LostBy(), r.ID())
-	switch {
-	case slices.Contains(shard.Excluded(), r.ID()),
-		h.AddressReusedStart() != 0 && h.AddressReusedStart() == r.StartedMilli(),
-		!tried && shard.TriedServers() > 0 && shard.TriedServers() >= req.Route().MaxAttempts():
-		return rankExcluded
-	case h.BackoffUntil() <= now && refused:
-		return rankRefused
-	case h.BackoffUntil() <= now:
-		return rankUsable
-	case h.ConnectFailed() || h.Inflight() > 0:
-		return rankExcluded
-	}
-	return rankBackedOff
-}
-
-// healthOf returns the health of a server and resets it when the server has
-// restarted.
-func healthOf(l *loop.Loop, r *lagoon.Replica) *health.Row {
-	h := l.Health().Ensure(r.ID())
-	if h.StartedMilli() != r.StartedMilli() {
-		inflight := h.Inflight()
-		*h = health.Row{}
-		h.SetStartedMilli(r.StartedMilli())
-		h.SetInflight(inflight)
-	}
-	return h
-}
-
-// maxInflight returns the number of attempts that this node may have in flight at
-// one server: its share of the server's connections, at least 1.
-func maxInflight(l *loop.Loop, service string) int {
-	return max(1, int(min(connectionShare(l, service), math.MaxInt32)))
-}
-
-// connectionShare returns this node's share of each server's connections. It is
-// below 1 when there are more nodes than connections.
-func connectionShare(l *loop.Loop, service string) float64 {
-	pool := l.View().Pool(service)
-	if pool.MaxConns() == 0 {
-		return math.Inf(1)
-	}
-	return connShare * float64(pool.MaxConns()) / max(l.View().ShareDivisor(), 1)
-}
-
-// coldAllowed reports whether the rate limit of a cold server allows an attempt
-// by this node. It is true for servers that are not cold.
-func coldAllowed(l *loop.Loop, r *lagoon.Replica, h *health.Row, now time.Duration) bool {
-	pool := l.View().Pool(r.Service())
-	return pool.ColdPerSecond() == 0 || l.View().ColdUntilOf(r.ID()) <= now || h.NextColdAttempt() <= now
-}
-
-// countColdAttempt counts an attempt against this node's share of a cold server's
-// rate limit.
-func countColdAttempt(l *loop.Loop, r *lagoon.Replica, h *health.Row, now time.Duration) {
-	pool := l.View().Pool(r.Service())
-	if pool.ColdPerSecond() == 0 || l.View().ColdUntilOf(r.ID()) <= now {
-		return
-	}
-	interval := time.Duration(float64(time.Second) * max(l.View().ShareDivisor(), 1) / pool.ColdPerSecond())
-	h.SetNextColdAttempt(max(now, h.NextColdAttempt()) + interval)
-}
-
-func replicaView(l *loop.Loop, req *reqs.Row, r *lagoon.Replica, h *health.Row, zone string, now time.Duration) lagoon.ReplicaView {
-	var v lagoon.ReplicaView
-	v.SetSlots(r.Slots())
-	v.SetInflight(h.Inflight())
-	v.SetQueued(h.ReportedLoad() * decay(now-h.ReportedAt(), loadDecay))
-	v.SetRelativeLatency(1 + h.ExcessLatency()*decay(now-h.SampledAt(), latencyDecay))
-	v.SetSameZone(r.Zone() == zone)
-	v.SetCold(l.View().ColdUntilOf(r.ID()) > now)
-	v.SetDraining(r.Draining())
-	v.SetFailureRate(h.FailureRate() * decay(now-h.SampledAt(), latencyDecay))
-	if mean := float64(l.RouteStats().Ensure(req.Route().Name()).MeanLatency()); mean > 0 {
-		v.SetRemaining(float64(max(req.CallerStart()+req.Route().Objective()-now, 0)) / mean)
-		if h.Inflight() > 0 {
-			v.SetSilence(float64(now-h.SilentSince()) / mean)
-		}
-	}
-	v.SetJitter(l.RandomFloat())
-	return v
-}
-
-func decay(age, constant time.Duration) float64 { return math.Exp(-float64(age) / float64(constant)) }
-
 // start records an attempt at a server and sends it.
 func start(l *loop.Loop, id lagoon.RowID, shard *shards.Row, req *reqs.Row, r lagoon.Replica, now time.Duration) {
-	h := healthOf(l, &r)
+	h := choose.HealthOf(l, &r)
 	if h.Inflight() == 0 {
 		h.SetSilentSince(now)
 	}
 	h.SetInflight(h.Inflight() + 1)
-	countColdAttempt(l, &r, h, now)
+	choose.CountColdAttempt(l, &r, h, now)
 	attemptID, attempt := l.Attempts().Add("")
 	attempt.SetRequest(shard.Request())
 	attempt.SetShard(id)
@@ -377,7 +239,7 @@
 	a.SetReplica(r)
 	a.SetTimeout(req.Deadline() - now)
 	a.SetRecentConnOnly(!req.Route().Idempotent())
-	a.SetCloseConn(connectionShare(l, r.Service()) < 1)
+	a.SetCloseConn(choose.ConnectionShare(l, r.Service()) < 1)
 	a.SetPayload(request.Payload())
 	l.StartAttempt(id, attempt, a)
 }
--- a/pkg/score/score.go
+++ b/pkg/score/score.go
@@ -23,7 +23,9 @@
 	minRelativeLatency = 0.3  // limits the effect of a few fast responses
 	utilizationWeight  = 0.25 // servers slow down as their slots fill
 	inflightWeight     = 1.0  // per request from this node; there are few unless the server is slow or paused
-	otherZoneFactor    = 2.5  // traffic between zones costs about a sixth of the value of a response; a second request at the same server costs more
+	otherZoneFactor    = 1.6  // traffic between zones costs about a sixth of the value of a response
+	freeSlotFactor     = 0.6  // for a sound replica in the same zone with a free slot; a second request there is better than another zone, but a queue is not
+	soundFailureRate   = 0.05 // of a sound replica, at most
 	coldFactor         = 1.6  // about the slowdown of a server that has just started
 	failureWeight      = 12.0 // a lost response costs a hedge or a missing shard, which is several response times
 	silenceThreshold   = 2.5  // in typical response times; few responses take longer
@@ -44,8 +46,11 @@
 	if v.Remaining() > 0 && latency*queueingDelay(slots, load) > v.Remaining() {
 		cost *= lateFactor
 	}
-	if !v.SameZone() {
+	switch {
+	case !v.SameZone():
 		cost *= otherZoneFactor
+	case load+1 <= slots && v.FailureRate() <= soundFailureRate:
+		cost *= freeSlotFactor
 	}
 	if v.Cold() {
 		cost *= coldFactor
