Push updates relative to the last change of their topic

Cause: an update that a hub pushed named the revision at which its watch began.

Change: the update names the revision of the topic's last change before it.

Before: TestPushAfterEmptyWatchCausesNoCalls 598 calls, at most 272 wanted. After: it passes.

--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -103,11 +103,15 @@
 	if row.Topic() != lagoon.TopicCatalog && !Empty(update) {
 		row.SetRetryAt(now + batchDelay)
 	}
+	lastChange := row.LastChange()
 	if update.Full() || !Empty(update) {
 		apply(s, update, since, now)
 		row.SetLastChange(update.Revision())
 	}
 	if !Empty(update) && row.Revision() > 0 { // the first read of a topic is not forwarded, as each node starts with its own
+		if lastChange > 0 {
+			update.SetPrevious(lastChange) // nothing changed since, and the other nodes may not know later revisions yet
+		}
 		s.SetUpdates(append(s.Updates(), update))
 	}
 	row.SetRevision(update.Revision())
--- a/internal/direct/ctrl/scale_test.go
+++ b/internal/direct/ctrl/scale_test.go
@@ -19,6 +19,30 @@
 	return out
 }
 
+// A watch that ends without a change moves a hub to a later revision of the registry than
+// the other nodes have until the next heartbeat. An update that the hub pushes then does
+// not make the nodes read the topic.
+func TestPushAfterEmptyWatchCausesNoCalls(t *testing.T) {
+	f := newFleet(t, 60)
+	f.announce("s1", false)
+	f.run(5 * time.Second)
+	before := f.calls
+	const changes = 16
+	for range changes {
+		f.announce("s1", false) // raises the registry's revision
+		f.run(2100 * time.Millisecond)
+		f.changeCatalog()
+		f.run(40 * time.Millisecond)
+	}
+	f.run(time.Second)
+	f.checkInForce("after the changes")
+	// Each of two hubs calls at most once every 2 s for each of four topics, and up to
+	// twice for each change of two topics.
+	if got, most := f.calls-before, beats.HubCount*(4*18+2*2*changes); got > most {
+		t.Errorf("calls: got %d, want at most %d", got, most)
+	}
+}
+
 // Hubs whose registry calls fail, while those of other nodes succeed, are replaced,
 // and a change is in force in time on the nodes that reach the registry.
 func TestHubsCutOffFromRegistryAreReplaced(t *testing.T) {
