Take the servers' drain time from the settings

Cause: the time for which a leaving server may be used was bounded by a constant of 3 s, while the platform declares drainMs for each deployment, and one with less would see use after it. Change: the declared time counts, 3 s if there is none.

Before: TestDeclaredDrainTimeIsKept failed with a drain time of 1 s. After: it passes.

--- a/internal/direct/ctrl/edge_test.go
+++ b/internal/direct/ctrl/edge_test.go
@@ -86,3 +86,23 @@
 		t.Error("the other server: got none, want it in use")
 	}
 }
+
+// The drain time that the settings declare bounds the use of a draining server, when it is
+// shorter than the grace period as well.
+func TestDeclaredDrainTimeIsKept(t *testing.T) {
+	const drainTime = time.Second
+	f := newFleet(t, 5)
+	f.announce("s1", false)
+	f.announce("s2", false)
+	f.run(5 * time.Second)
+	for _, n := range f.nodes {
+		n.control.SetDrainTime(drainTime)
+	}
+	f.announce("s1", true)
+	f.run(drainTime)
+	for _, n := range f.nodes {
+		if got := findServer(n, "s1"); got != nil {
+			t.Errorf("%s: got the draining server in use after %s, want not", n.self.Name(), drainTime)
+		}
+	}
+}
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	row.SetUsableUntil(expire.LastUse(since, lapsed, now))
+//	row.SetUsableUntil(expire.LastUse(s, since, lapsed, now))
 //	systems = append(systems, expire.System{})
 //
 // A server that is draining may briefly be the only one of its service, and an
@@ -14,6 +14,7 @@
 package expire
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
@@ -25,7 +26,7 @@
 const (
 	gracePeriod       = time.Second             // from when the node learned of it; the news may take another second to reach all nodes
 	lapseGracePeriod  = 2100 * time.Millisecond // for announcements lost in an outage, which return within 2 s of its end
-	drainTime         = 3 * time.Second         // for which a server serves after the registry accepted that it leaves
+	defaultDrainTime  = 3 * time.Second         // for which a server serves after the registry accepted that it leaves
 	drainMargin       = 400 * time.Millisecond  // of the drain time, for the next tick and the way to the server
 	outageWindow      = 4 * time.Second         // after an outage, in which changes may have been learned late
 	lapsedServerShare = 0.25                    // of the servers; an outage affects the announcements of all servers alike, while few servers leave at a time
@@ -54,7 +55,8 @@
 // LastUse returns until when a server may get requests whose departure the node learns
 // of now. since is the earliest time at which the registry may have accepted it, or 0 if
 // that is not known. lapsed is set if the announcement was probably lost in an outage.
-func LastUse(since time.Duration, lapsed bool, now time.Duration) time.Duration {
+func LastUse(s *state.State, since time.Duration, lapsed bool, now time.Duration) time.Duration {
+	drainTime := cmp.Or(s.DrainTime(), defaultDrainTime)
 	switch {
 	case lapsed:
 		return now + lapseGracePeriod
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -225,7 +225,7 @@
 		row.SetUsableUntil(0)
 	case row.DrainingAt() == 0 || old.StartedMilli() != replica.StartedMilli():
 		row.SetDrainingAt(now)
-		row.SetUsableUntil(expire.LastUse(since, false, now))
+		row.SetUsableUntil(expire.LastUse(s, since, false, now))
 	}
 	s.SetViewStale(true)
 	if returned || old.ID() == "" || old.Draining() != replica.Draining() || old.StartedMilli() != replica.StartedMilli() || (old.ColdDuration() == 0) != (replica.ColdDuration() == 0) {
@@ -249,7 +249,7 @@
 	}
 	s.SetViewStale(true)
 	lapsed := expire.Lapsed(s, now)
-	lastUse := expire.LastUse(since, lapsed, now)
+	lastUse := expire.LastUse(s, since, lapsed, now)
 	for _, row := range marked {
 		if row.DrainingAt() == 0 {
 			row.SetUsableUntil(lastUse)
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -53,6 +53,12 @@
 // SetAnnounceWait sets how long after its start the node waits for other nodes' announcements.
 func (v *Node) SetAnnounceWait(x time.Duration) { v.announceWait = x }
 
+// DrainTime returns for which a server serves after the registry accepted that it leaves; 0 means the default.
+func (v *Node) DrainTime() time.Duration { return v.drainTime }
+
+// SetDrainTime sets for which a server serves after the registry accepted that it leaves; 0 means the default.
+func (v *Node) SetDrainTime(x time.Duration) { v.drainTime = x }
+
 // ExtraRatio returns the retries and hedges that all nodes together may send to a service, as a share of its requests.
 func (v *Node) ExtraRatio() float64 { return v.extraRatio }
 
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -52,6 +52,7 @@
 	journal      lagoon.Journal   // the journal of decisions
 	hubWait      time.Duration    // how long after its start the node waits for a hub before it reads all topics itself
 	announceWait time.Duration    // how long after its start the node waits for other nodes' announcements
+	drainTime    time.Duration    // for which a server serves after the registry accepted that it leaves; 0 means the default
 	extraRatio   float64          // the retries and hedges that all nodes together may send to a service, as a share of its requests
 	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
 	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
@@ -123,6 +124,7 @@
 	n.control.SetHubWait(n.hubWait)
 	n.control.SetAnnounceWait(n.announceWait)
 	n.control.SetStartedAt(n.clock.Now())
+	n.control.SetDrainTime(n.drainTime)
 	n.control.SetRegistry(n.registry)
 	n.control.SetLink(n.link)
 	n.control.SetJournal(n.journal)
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -169,6 +169,12 @@
 // SetAnnounceWait sets how long after its start the node waits for other nodes' announcements.
 func (v *State) SetAnnounceWait(x time.Duration) { v.announceWait = x }
 
+// DrainTime returns for which a server serves after the registry accepted that it leaves; 0 means the default.
+func (v *State) DrainTime() time.Duration { return v.drainTime }
+
+// SetDrainTime sets for which a server serves after the registry accepted that it leaves; 0 means the default.
+func (v *State) SetDrainTime(x time.Duration) { v.drainTime = x }
+
 // ZonesOut returns the availability zones taken out of service.
 func (v *State) ZonesOut() map[string]bool { return v.zonesOut }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -64,6 +64,7 @@
 	electedAt         time.Duration                                                                           // when the hubs were last elected
 	lastCallFailedAt  time.Duration                                                                           // when one of this node's registry calls last failed
 	announceWait      time.Duration                                                                           // how long after its start the node waits for other nodes' announcements
+	drainTime         time.Duration                                                                           // for which a server serves after the registry accepted that it leaves; 0 means the default
 	zonesOut          map[string]bool                                                                         // the availability zones taken out of service
 	stopping          bool                                                                                    // whether the node is stopping
 	viewStale         bool                                                                                    // whether the published view is out of date
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -43,7 +43,7 @@
 // Backoff of servers that fail.
 const (
 	failureLimit        = 3                      // consecutive failures, each after a typical latency or later; one lost response and its retry may count as two
-	earlyFailureLimit   = 8                      // consecutive failures with an early one; a server that loses half of its responses has that many within minutes, and few of its requests are slow
+	earlyFailureLimit   = 8                      // consecutive failures, the last of them earlier; a server that loses half of its responses rarely has that many
 	connectFailureLimit = 2                      // consecutive failures to connect
 	initialBackoff      = 250 * time.Millisecond // doubles with each further failure
 	maxBackoff          = time.Second            // a server that recovers is used again within a second
