--- a/internal/direct/ctrl/edge_test.go
+++ b/internal/direct/ctrl/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -106,3 +107,50 @@
 		}
 	}
 }
+
+// Pushes that arrive late and out of order bring back neither a server that has left nor
+// an older catalog, also on nodes that start meanwhile.
+func TestPushesOutOfOrderBringNothingBack(t *testing.T) {
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		f := newFleet(t, 30)
+		f.hubWait, f.largeNodes = 1500*time.Millisecond, 4
+		f.announce("s0", false)
+		f.run(5 * time.Second)
+		f.pushDelay = func() time.Duration { return time.Duration(rng.Int64N(int64(2 * time.Second))) }
+		left := map[string]time.Duration{}
+		versions := map[*node]uint64{}
+		for round := range 8 {
+			id := fmt.Sprint("s", round+1)
+			f.announce(id, false)
+			f.changeCatalog()
+			f.run(700 * time.Millisecond)
+			f.withdraw(id)
+			left[id] = f.now
+			n := f.nodes[rng.IntN(len(f.nodes))]
+			f.start(n.self.Name(), n.self.Zone())
+			for end := f.now + 900*time.Millisecond; f.now < end; {
+				f.run(tickStep)
+				checkNothingBack(t, f, left, versions)
+			}
+		}
+	}
+}
+
+// checkNothingBack checks that no node uses a server that left drainLimit ago, or a
+// catalog with a lower version than it had.
+func checkNothingBack(t *testing.T, f *fleet, left map[string]time.Duration, versions map[*node]uint64) {
+	t.Helper()
+	for _, n := range f.nodes {
+		for id, at := range left {
+			if findServer(n, id) != nil && f.now-at > drainLimit {
+				t.Fatalf("%s: got server %s in use %s after it left, want not after %s", n.self.Name(), id, f.now-at, drainLimit)
+			}
+		}
+		catalog := n.publishedView.Load().Catalog()
+		if catalog.Version() < versions[n] {
+			t.Fatalf("%s: got catalog version %d after %d, want no older one", n.self.Name(), catalog.Version(), versions[n])
+		}
+		versions[n] = catalog.Version()
+	}
+}
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -44,7 +44,7 @@
 	rosterNamesSent   int                       // names of nodes in the heartbeats sent so far
 	dropMessage       func(from, to *node) bool // reports whether to lose a message
 	responseTime      time.Duration             // of the registry; 10 ms if 0
-	pushDelay         time.Duration             // until a push arrives, while heartbeats arrive at once
+	pushDelay         func() time.Duration      // until a push arrives, while heartbeats arrive at once; nil for no delay
 	delayed           []delivery                // the pushes on their way
 }
 
@@ -178,8 +178,8 @@
 					n.fleet.fullPushes++
 				}
 			}
-			if isPush && n.fleet.pushDelay > 0 {
-				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.pushDelay, to, m})
+			if isPush && n.fleet.pushDelay != nil {
+				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.pushDelay(), to, m})
 				return true
 			}
 			to.mailbox = append(to.mailbox, m)
--- a/internal/direct/ctrl/scale_test.go
+++ b/internal/direct/ctrl/scale_test.go
@@ -187,7 +187,7 @@
 	f := newFleet(t, 60)
 	f.announce("s1", false)
 	f.run(5 * time.Second)
-	f.pushDelay = 250 * time.Millisecond
+	f.pushDelay = func() time.Duration { return 250 * time.Millisecond }
 	before := f.calls
 	const changes = 5
 	for range changes {
