--- a/review/cases/nodes_test.go
+++ b/review/cases/nodes_test.go
@@ -150,6 +150,14 @@
 	}(n.exited)
 }
 
+// restart starts a node's process again, as at any start but the deployment's first.
+func (e *env) restart(n *node) {
+	data, err := os.ReadFile(n.settings)
+	must(err)
+	must(os.WriteFile(n.settings, []byte(strings.Replace(string(data), "bootstrap = true", "bootstrap = false", 1)), 0o644))
+	e.start(n)
+}
+
 // signal sends a signal to a node's process.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
