--- a/review/cases/record_test.go
+++ b/review/cases/record_test.go
@@ -34,12 +34,12 @@
 	r.write(fmt.Sprintf(format, args...), true)
 }
 
-func (r *recorder) write(text string, print bool) {
+func (r *recorder) write(text string, echo bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	line := fmt.Sprintf("%9.4f %s\n", time.Since(r.start).Seconds(), text)
 	_, _ = r.out.WriteString(line)
-	if print {
+	if echo {
 		fmt.Print(line)
 	}
 }
--- a/review/cases/slashes_test.go
+++ b/review/cases/slashes_test.go
@@ -27,7 +27,7 @@
 func runSlashes(e *env) int {
 	st := newStore()
 	seen := &targets{got: map[string]string{}}
-	startTargetServer(e, st, seen)
+	startTargetServer(st, seen)
 	st.put("config", "main", map[string]any{
 		"version":  7,
 		"routes":   []any{map[string]any{"name": "booking", "host": "desk.example", "pathPrefix": "/", "kind": "unsafe", "timeoutMs": 6000, "sloMs": 600, "priority": 2, "service": "casting-book", "maxAttempts": 2}},
@@ -93,7 +93,7 @@
 
 // startTargetServer starts a server that records the request line and the Host header of
 // each request, as they stand on the connection.
-func startTargetServer(e *env, st *store, seen *targets) {
+func startTargetServer(st *store, seen *targets) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	go func() {
