Log what servers send that belongs to no attempt, and the stamps of responses

A caller got a success where its server had answered with a failure. The nodes' lines could not tell the hypotheses apart: they named neither the connection and the stamp of a response, nor anything else that had arrived on the connection.

Change: an attempt's result has the response's stamp, and what the server sent that belongs to no attempt in progress: responses to other requests, data after a response, data on an idle connection.

No decision changes.

--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -74,6 +74,7 @@
 			continue
 		}
 		recordHealth(l, attempt, now)
+		recordUnsolicited(l, attempt)
 		if !attempt.RequestDone() {
 			updateShard(l, attempt, now)
 		}
@@ -199,7 +200,7 @@
 	}
 	result := attempt.Result()
 	shard.SetInflight(shard.Inflight() - 1)
-	req.SetTrace(append(req.Trace(), " "+attempt.Service()+"@"+attempt.Server()+"="+result.Status().String()+"/"+attempt.Elapsed().Round(time.Millisecond).String()...))
+	req.SetTrace(append(req.Trace(), describe(req, attempt)...))
 	if !result.Status().NotRun() {
 		req.SetMayHaveRun(true)
 	}
@@ -245,6 +246,29 @@
 	req.SetPendingShards(req.PendingShards() - 1)
 }
 
+// recordUnsolicited writes to the journal what a server sent that belongs to no attempt in
+// progress.
+func recordUnsolicited(l *loop.Loop, attempt *tries.Row) {
+	result := attempt.Result()
+	if result.Unsolicited() != "" {
+		l.Record("response_unsolicited", attempt.Server(), l.RequestIDOf(attempt), "the server sent what belongs to no attempt in progress: "+result.Unsolicited())
+	}
+}
+
+// describe describes the result of an attempt for the journal. The responses to requests for
+// one service are named by their stamps, with the connections that they came on.
+func describe(req *reqs.Row, attempt *tries.Row) string {
+	result := attempt.Result()
+	text := " " + attempt.Service() + "@" + attempt.Server() + "=" + result.Status().String() + "/" + attempt.Elapsed().Round(time.Millisecond).String()
+	if len(req.Route().Shards()) > 0 || result.Stamp() == "" {
+		return text
+	}
+	if result.ConnOpened() {
+		return text + "/new connection/stamp " + result.Stamp()
+	}
+	return text + "/reused connection/stamp " + result.Stamp()
+}
+
 // recordRefusal records the result of an attempt in the retry budget of its service.
 func recordRefusal(l *loop.Loop, service string, status lagoon.Status, now time.Duration) {
 	budget := l.Budgets().Ensure(service)
