Match responses of the product's own platform by the ID of the call

What callers would see: on the product's own interface, a node may use an old configuration or placement, or hold a claim whose write was refused.

Cause: nothing matched a response of the object API to its call. On a kept connection a late copy of a response counted as the next call's, and the beginning of a head that belongs to no response gave the next one its status.

Change: calls have an ID that the platform should return, as in the protocol with servers (docs/INTERFACES.md). A response with another ID, a joined head, and one without an ID on a connection in use again count as no response, and the connection is closed. After a response without an ID no connection is used again, so that a platform without IDs works as before, with more connections. The simulated platform returns the ID.

--- a/internal/htplat/htplat.go
+++ b/internal/htplat/htplat.go
@@ -8,6 +8,10 @@
 // docs/INTERFACES.md describes the API. If no response arrives, or one that the API
 // does not define, the error wraps lagoon.ErrUnavailable. A write that returned this
 // error may have been applied.
+//
+// The platform may send a second copy of a response late, where the next one is expected. The
+// ID of the call, which the platform should return, tells them apart; no connection is used
+// again after a response without it.
 package htplat
 
 import (
@@ -16,18 +20,24 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/heads"
 	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
-// VersionHeader is the response header with an object's version.
-const VersionHeader = "X-Object-Version"
+// Headers of the API.
+const (
+	VersionHeader = "X-Object-Version" // an object's version
+	CallIDHeader  = "X-Call-Id"        // the ID of a call, which its response returns
+)
 
 // maxObjectBytes is the platform's limit on the size of an object.
 const maxObjectBytes = 1 << 20
@@ -40,6 +50,8 @@
 	baseURL   string
 	client    *http.Client
 	watchWait time.Duration
+	calls     atomic.Uint64 // numbers the calls, for their IDs
+	noIDs     atomic.Bool   // whether the last response had no ID
 }
 
 // New returns a client of the object API at baseURL. watchWait is the longest time
@@ -181,6 +193,8 @@
 
 // call sends one request and reads the whole response.
 func (s *Store) call(ctx context.Context, method, path string, body []byte) (int, http.Header, []byte, error) {
+	var reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }})
 	req, err := http.NewRequestWithContext(ctx, method, s.baseURL+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "create a platform request")
@@ -188,18 +202,46 @@
 	// Without GetBody the transport does not resend the request. A write whose reply
 	// was lost may have been applied, so only the caller can decide to retry it.
 	req.GetBody = nil
+	id := strconv.FormatUint(s.calls.Add(1), 10)
+	req.Header.Set(CallIDHeader, id)
+	req.Close = s.noIDs.Load()
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return 0, nil, nil, errors.Wrapf(lagoon.ErrUnavailable, "%s %s: %v", method, path, err)
 	}
 	defer resp.Body.Close()
+	if err := checkHead(resp, id, reused.Load()); err != nil {
+		_ = resp.Body.Close() // the response is not used
+		s.client.CloseIdleConnections()
+		return 0, nil, nil, errors.Wrapf(lagoon.ErrUnavailable, "%s %s: %v", method, path, err)
+	}
 	data, err := whole.Read(resp.Body, 4*maxObjectBytes)
 	if err != nil {
 		return 0, nil, nil, errors.Wrapf(lagoon.ErrUnavailable, "%s %s: %v", method, path, err)
 	}
+	noID := resp.Header.Get(CallIDHeader) == ""
+	s.noIDs.Store(noID)
+	if noID {
+		s.client.CloseIdleConnections()
+	}
 	return resp.StatusCode, resp.Header, data, nil
 }
 
+// checkHead returns an error if a response may not be that to the call with an ID. Without an
+// ID in the response, only the first one on a connection certainly is.
+func checkHead(resp *http.Response, id string, reused bool) error {
+	if err := heads.Check(resp); err != nil {
+		return err
+	}
+	switch got := resp.Header.Get(CallIDHeader); {
+	case got == "" && reused:
+		return errors.New("the response has no ID, on a connection in use again")
+	case got != "" && got != id:
+		return errors.Errorf("the response belongs to call %q", got)
+	}
+	return nil
+}
+
 // statusError reports a response status that the API does not define.
 func statusError(op string, status int) error {
 	return errors.Wrapf(lagoon.ErrUnavailable, "%s: status %d", op, status)
--- a/internal/simplt/simplt.go
+++ b/internal/simplt/simplt.go
@@ -173,6 +173,7 @@
 		p.admin(w, r)
 		return
 	}
+	w.Header().Set(htplat.CallIDHeader, r.Header.Get(htplat.CallIDHeader))
 	kind := callKind(r)
 	if !p.admitCall(w, kind) {
 		return
