Cancel only the shard requests of the lane that sends the cancellation

What callers saw: where the entry node has more than one lane, a query that ended early (at its deadline, after a hedge, or because it needed no more shards) could cancel the requests of another query. The servers of that one had not failed, yet its requests were repeated, or their shards left out once no retry was allowed.

Cause: each lane numbers its shard requests on its own, from the same start. A job is matched with a cancellation by the origin's address, its start ID and the ID of the shard request, but not by the lane, and so the same ID of each lane of a node was cancelled. The default of one lane hides this.

The cancellation now names its lane, and a job is cancelled only if the same lane sent it. A cancellation of a node of an earlier release has no lane and works as before, and such a node ignores the new fields.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -1018,6 +1018,18 @@
 // SetIDs sets the IDs of the shard requests at the sender.
 func (v *ShardRequestCancel) SetIDs(x []uint64) { v.ids = x }
 
+// Lane returns the lane of the sender that sent the requests.
+func (v ShardRequestCancel) Lane() int { return v.lane }
+
+// SetLane sets the lane of the sender that sent the requests.
+func (v *ShardRequestCancel) SetLane(x int) { v.lane = x }
+
+// HasLane returns whether the lane is set; nodes of earlier releases do not set it.
+func (v ShardRequestCancel) HasLane() bool { return v.hasLane }
+
+// SetHasLane sets whether the lane is set; nodes of earlier releases do not set it.
+func (v *ShardRequestCancel) SetHasLane(x bool) { v.hasLane = x }
+
 // From returns the name of the sender.
 func (v ClaimRequest) From() string { return v.from }
 
--- a/internal/lane/outbox.go
+++ b/internal/lane/outbox.go
@@ -62,6 +62,8 @@
 	m.SetFrom(l.view.Self())
 	m.SetStartID(l.view.StartID())
 	m.SetIDs([]uint64{shardRequestID})
+	m.SetLane(l.number)
+	m.SetHasLane(true)
 	l.outbox.cancels = append(l.outbox.cancels, outgoing[*lagoon.ShardRequestCancel]{addr, m})
 }
 
--- a/internal/trfc/cancel/cancel.go
+++ b/internal/trfc/cancel/cancel.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/jobs"
 	"github.com/lagoontrail/lagoon/internal/lane"
 )
@@ -31,13 +32,20 @@
 		}
 		for i := range l.Jobs().Len() {
 			j := l.Jobs().At(i)
-			if j.OriginAddr() == from && j.OriginStartID() == m.StartID() && slices.Contains(m.IDs(), j.ShardRequestID()) {
+			if j.OriginAddr() == from && matches(j, m) {
 				cancel(j)
 			}
 		}
 	}
 }
 
+// matches reports whether a cancellation by the origin node of a job names the job. Each
+// lane of each run of a node numbers its shard requests from the same start.
+func matches(j *jobs.Row, m *lagoon.ShardRequestCancel) bool {
+	sameLane := !m.HasLane() || j.OriginLane() == m.Lane()
+	return sameLane && j.OriginStartID() == m.StartID() && slices.Contains(m.IDs(), j.ShardRequestID())
+}
+
 // cancel marks a job as cancelled and, if its request is idempotent, cancels the
 // request. A running request that is not idempotent continues, because cancelling
 // it could leave its effect incomplete.
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -683,6 +683,8 @@
 	From    string   `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
 	StartID uint64   `cbor:"2,keyasint,omitempty" json:"start,omitempty"`
 	IDs     []uint64 `cbor:"3,keyasint,omitempty" json:"ids,omitempty"`
+	Lane    int      `cbor:"4,keyasint,omitempty" json:"lane,omitempty"`
+	HasLane bool     `cbor:"5,keyasint,omitempty" json:"has_lane,omitempty"`
 }
 
 func toShardRequestCancel(v lagoon.ShardRequestCancel) shardRequestCancelForm {
@@ -690,6 +692,8 @@
 		From:    v.From(),
 		StartID: v.StartID(),
 		IDs:     v.IDs(),
+		Lane:    v.Lane(),
+		HasLane: v.HasLane(),
 	}
 }
 
@@ -698,6 +702,8 @@
 	v.SetFrom(m.From)
 	v.SetStartID(m.StartID)
 	v.SetIDs(m.IDs)
+	v.SetLane(m.Lane)
+	v.SetHasLane(m.HasLane)
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -118,6 +118,8 @@
 	from    string   // the name of the sender
 	startID uint64   // the sender's start ID; json:"start"
 	ids     []uint64 // the IDs of the shard requests at the sender
+	lane    int      // the lane of the sender that sent the requests
+	hasLane bool     // whether the lane is set; nodes of earlier releases do not set it
 }
 
 // ClaimRequest asks the keeper of a bucket, the node that writes it, to record a
