Return redirects of servers as lost responses

What callers saw: a request whose server answered with a redirect got the response of whatever server the redirect named, as a success.

Cause: http.Client follows redirects. A server's answer other than 200, 410 and 503 means that the request may have run, and its answer is lost (docs/INTERFACES.md).

Evidence: before, TestResponseOfAnotherServerIsNotThatOfTheServer failed with 301, 302, 303 and 307: "status 302: got ok (body "other"), want unknown".

The client now returns a redirect like any other status.

--- /dev/null
+++ b/internal/htup/answers_test.go
@@ -0,0 +1,81 @@
+package htup_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/htup"
+)
+
+// startScript starts a server that responds to the n-th request with the bytes that respond
+// returns, on connections that it keeps open. last is what it sent before on the connection.
+func startScript(t *testing.T, respond func(n int, req *http.Request, last string) string) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				last, r := "", bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					last = respond(int(requests.Add(1)), req, last)
+					if _, err := c.Write([]byte(last)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// newResponse returns a response with the ID of a request.
+func newResponse(status int, req *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, htup.CallIDHeader, req.Header.Get(htup.CallIDHeader), len(body), body)
+}
+
+// newClient returns a client and a context for the calls of one test.
+func newClient(t *testing.T) (*htup.Client, context.Context) {
+	t.Helper()
+	client, stop := htup.New()
+	t.Cleanup(stop)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	t.Cleanup(cancel)
+	return client, ctx
+}
+
+// Guards against a response of another server, to which a server refers, that counts as the
+// response of the server that was asked.
+func TestResponseOfAnotherServerIsNotThatOfTheServer(t *testing.T) {
+	other := startScript(t, func(_ int, req *http.Request, _ string) string { return newResponse(http.StatusOK, req, "other") })
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		addr := startScript(t, func(_ int, req *http.Request, _ string) string {
+			return strings.Replace(newResponse(status, req, ""), "\r\n", "\r\nLocation: http://"+other+"/\r\n", 1)
+		})
+		client, ctx := newClient(t)
+		if got, want := client.Send(ctx, newCall(addr)), lagoon.StatusUnknown; got.Status() != want {
+			t.Errorf("status %d: got %s (body %q), want %s", status, got.Status(), got.Body(), want)
+		}
+	}
+}
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -67,9 +67,13 @@
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 	}
-	return &Client{httpClient: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	return &Client{httpClient: &http.Client{Transport: transport, CheckRedirect: followNone}}, transport.CloseIdleConnections
 }
 
+// followNone makes a client return redirects. The response of another server would count as
+// that of the server that was asked.
+func followNone(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Send sends one request and waits for its result. It returns StatusNotSent only if
 // the server cannot have received the request: the transport had no connection yet.
 func (c *Client) Send(ctx context.Context, call lagoon.Call) lagoon.Reply {
