Refuse responses whose head is joined to the bytes before it

What callers saw: a server that sent the beginning of a response too many answered the next call with 503, and the caller got a success without content. Reads got an empty part; writes that had been refused counted as run.

Cause: on a kept connection, bytes that follow a response and arrive after the next call was sent are read together with the head of its response: the status is the one of the stray bytes, and the ID of the call, which is checked, is the one of the real response.

Evidence: before, TestBytesBeforeResponseAreNotItsStatus failed with "a header without its value: call 2: got ok (, body ""), want unknown" and the same for "a part of a reason phrase". The other places at which the stray bytes may end gave malformed heads already.

The status line of the real response is then the end of a line of the stray head. A line without a colon, with a colon in the wrong place or with an odd name is malformed for net/http; in the others, a value or the reason phrase contains the status line. Such a response is now a lost one, and its connection is closed.

--- a/internal/htup/answers_test.go
+++ b/internal/htup/answers_test.go
@@ -65,6 +65,42 @@
 	return client, ctx
 }
 
+// Guards against bytes that follow a response and are joined to the head of the next one: its
+// caller would get the status of the former with the ID of the latter.
+func TestBytesBeforeResponseAreNotItsStatus(t *testing.T) {
+	cases := map[string]struct {
+		stray string
+		want  lagoon.Status
+	}{
+		"none":                       {"", lagoon.StatusRefused},
+		"a header without its value": {"HTTP/1.1 200 OK\r\nX: ", lagoon.StatusUnknown},
+		"a part of a reason phrase":  {"HTTP/1.1 200 O", lagoon.StatusUnknown},
+		"a part of a status line":    {"HTTP/1.1 2", lagoon.StatusUnknown},
+		"a part of a header's name":  {"HTTP/1.1 200 OK\r\nX-St", lagoon.StatusUnknown},
+		"a header":                   {"HTTP/1.1 200 OK\r\nX: y\r\n", lagoon.StatusUnknown},
+		"a status line":              {"HTTP/1.1 200 OK\r\n", lagoon.StatusUnknown},
+		"the head of an interim one": {"HTTP/1.1 100 Continue\r\nX: ", lagoon.StatusUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr := startScript(t, func(n int, req *http.Request, _ string) string {
+				if n == 1 {
+					return newResponse(http.StatusOK, req, "1")
+				}
+				return c.stray + newResponse(http.StatusServiceUnavailable, req, "")
+			})
+			client, ctx := newClient(t)
+			for i, want := range []lagoon.Status{lagoon.StatusOK, c.want} {
+				callCtx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+				if got := client.Send(callCtx, newCall(addr)); got.Status() != want {
+					t.Errorf("call %d: got %s (%s, body %q), want %s", i+1, got.Status(), got.Detail(), got.Body(), want)
+				}
+				cancel()
+			}
+		})
+	}
+}
+
 // Guards against a response of another server, to which a server refers, that counts as the
 // response of the server that was asked.
 func TestResponseOfAnotherServerIsNotThatOfTheServer(t *testing.T) {
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -21,6 +21,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -100,6 +102,10 @@
 		_ = (*conn.Load()).Close() // the response to this call may follow, and must be nobody's
 		return failedReply(lagoon.StatusUnknown, errors.Errorf("the response belongs to call %q", got))
 	}
+	if joined(resp) {
+		_ = (*conn.Load()).Close()
+		return failedReply(lagoon.StatusUnknown, errors.New("the head of the response is joined to other bytes"))
+	}
 	body, err := whole.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return failedReply(lagoon.StatusUnknown, err)
@@ -107,6 +113,24 @@
 	return newReply(resp, body)
 }
 
+// statusLine matches the beginning of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// joined reports whether the head of a response contains the beginning of another one. Bytes that
+// a server sends after a response are joined to its next one, whose status line then is the end
+// of a line of the former. Lines that contain it elsewhere are malformed.
+func joined(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 func newRequest(ctx context.Context, call lagoon.Call) (*http.Request, error) {
 	url := fmt.Sprintf("http://%s/v1/search?service=%s&shard=%d&map=%d&index=%d", call.Addr(), call.Service(), call.Shard(), call.Snapshot().MapVersion(), call.Snapshot().IndexVersion())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body()))
