Expect the call ID in all responses on a connection that had it in one

What callers saw: a server whose responses have the ID of their calls sent bytes without it after a response, and the next caller got these, or a part of the head of its own response, as a success while the server had answered 503.

Cause: a response without an ID was taken for that of a server that never returns it, whatever the connection's earlier responses had.

Evidence: before, TestBytesBeforeResponseAreNotItsStatus failed with "a response without an ID: call 2: got ok (, body "1"), want unknown" and "a head without a body: call 2: got ok (, body "HTTP/1.1 503 x\r\nX-Call-Id: 2\r\nContent-Le"), want unknown".

A connection now remembers whether a response on it had the ID of its call; one without an ID is then a lost response. Servers that never return the ID are used as before, and so is one that is replaced by another release, because that comes with new connections.

--- a/internal/htup/answers_test.go
+++ b/internal/htup/answers_test.go
@@ -79,6 +79,8 @@
 		"a part of a header's name":  {"HTTP/1.1 200 OK\r\nX-St", lagoon.StatusUnknown},
 		"a header":                   {"HTTP/1.1 200 OK\r\nX: y\r\n", lagoon.StatusUnknown},
 		"a status line":              {"HTTP/1.1 200 OK\r\n", lagoon.StatusUnknown},
+		"a head without a body":      {"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n", lagoon.StatusUnknown},
+		"a response without an ID":   {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", lagoon.StatusUnknown},
 		"the head of an interim one": {"HTTP/1.1 100 Continue\r\nX: ", lagoon.StatusUnknown},
 	}
 	for name, c := range cases {
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -62,9 +62,16 @@
 // it when no request is running.
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
 	transport := &http.Transport{
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -79,8 +86,8 @@
 // Send sends one request and waits for its result. It returns StatusNotSent only if
 // the server cannot have received the request: the transport had no connection yet.
 func (c *Client) Send(ctx context.Context, call lagoon.Call) lagoon.Reply {
-	var conn atomic.Pointer[net.Conn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
+	var used atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(info.Conn.(*conn)) }}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
 		return failedReply(lagoon.StatusNotSent, err)
@@ -91,20 +98,16 @@
 	id := strconv.FormatUint(c.calls.Add(1), 10)
 	req.Header.Set(CallIDHeader, id)
 	resp, err := c.httpClient.Do(req)
-	if err != nil && conn.Load() == nil {
+	if err != nil && used.Load() == nil {
 		return failedReply(lagoon.StatusNotSent, err)
 	}
 	if err != nil {
 		return failedReply(lagoon.StatusUnknown, err)
 	}
 	defer resp.Body.Close()
-	if got := resp.Header.Get(CallIDHeader); got != "" && got != id {
-		_ = (*conn.Load()).Close() // the response to this call may follow, and must be nobody's
-		return failedReply(lagoon.StatusUnknown, errors.Errorf("the response belongs to call %q", got))
-	}
-	if joined(resp) {
-		_ = (*conn.Load()).Close()
-		return failedReply(lagoon.StatusUnknown, errors.New("the head of the response is joined to other bytes"))
+	if err := used.Load().check(resp, id); err != nil {
+		_ = used.Load().Close() // the response to this call may follow, and must be nobody's
+		return failedReply(lagoon.StatusUnknown, err)
 	}
 	body, err := whole.Read(resp.Body, maxResponseBytes)
 	if err != nil {
@@ -113,6 +116,28 @@
 	return newReply(resp, body)
 }
 
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	returnsID atomic.Bool // whether a response on it had the ID of its call
+}
+
+// check returns why a response is not that to the call with an ID, or nil.
+func (c *conn) check(resp *http.Response, id string) error {
+	got := resp.Header.Get(CallIDHeader)
+	switch {
+	case got == "" && c.returnsID.Load():
+		return errors.New("the response has no call ID, as earlier ones on its connection had")
+	case got != "" && got != id:
+		return errors.Errorf("the response belongs to call %q", got)
+	case joined(resp):
+		return errors.New("the head of the response is joined to other bytes")
+	case got == id:
+		c.returnsID.Store(true)
+	}
+	return nil
+}
+
 // statusLine matches the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 
