Match reports by a call ID, on connections of their own

What callers saw: a late copy of a server's report was returned as its response to the next call, a success with the report's JSON as its content. The server had refused that call. A late copy also counted as the next report, so that a server could look as it did one probe before.

Cause: probes and calls shared connections, and neither the request for a report nor the report had a call ID; a response without one is accepted from servers that do not return it.

Probes now use connections of their own, so that no copy reaches a call, whatever the server returns. They also have a call ID, which is checked like that of a call; a server that returns none in reports is used as before. The stand-in server returns it.

--- a/internal/htup/answers_test.go
+++ b/internal/htup/answers_test.go
@@ -117,3 +117,50 @@
 		}
 	}
 }
+
+// newReport returns a report, with the ID of the probe if withID is set.
+func newReport(req *http.Request, withID bool, startID int) string {
+	body := fmt.Sprintf(`{"start_id":%d,"snapshots":["1.2"]}`, startID)
+	if withID {
+		return newResponse(http.StatusOK, req, body)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Guards against a late copy of a report that counts as the response to a call, and against one
+// of a response that counts as a report, whether or not the server returns the ID of a probe.
+func TestReportIsNotTheNextCallsResponse(t *testing.T) {
+	for name, withID := range map[string]bool{"with the ID of the probe": true, "without an ID": false} {
+		t.Run(name, func(t *testing.T) {
+			addr := startScript(t, func(n int, req *http.Request, last string) string {
+				if req.Method == http.MethodGet {
+					return last + newReport(req, withID, n)
+				}
+				return last + newResponse(http.StatusServiceUnavailable, req, "")
+			})
+			client, ctx := newClient(t)
+			if _, err := client.Probe(ctx, addr); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := client.Send(ctx, newCall(addr)), lagoon.StatusRefused; got.Status() != want {
+				t.Errorf("got %s (body %q), want %s", got.Status(), got.Body(), want)
+			}
+		})
+	}
+}
+
+// Guards against a late copy of a report that counts as the next report: a server that has
+// announced since that it drains would get requests.
+func TestLateCopyIsNotTheNextReport(t *testing.T) {
+	addr := startScript(t, func(n int, req *http.Request, last string) string { return last + newReport(req, true, n) })
+	client, ctx := newClient(t)
+	if _, err := client.Probe(ctx, addr); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := client.Probe(ctx, addr); err == nil {
+		t.Errorf("second probe: got the report with start ID %d and no error, want an error", got.StartID())
+	}
+	if got, err := client.Probe(ctx, addr); err != nil || got.StartID() != 3 {
+		t.Errorf("third probe: got start ID %d and error %v, want 3 and none", got.StartID(), err)
+	}
+}
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -54,13 +54,22 @@
 
 // Client is a lagoon.Upstream over HTTP. Create it with New.
 type Client struct {
-	httpClient *http.Client
-	calls      atomic.Uint64 // numbers the calls, for their IDs
+	calls  *http.Client
+	probes *http.Client // on connections of their own, because servers may return no ID in reports
+	lastID atomic.Uint64
 }
 
 // New returns a client. The cleanup function closes its idle connections; call
 // it when no request is running.
 func New() (*Client, func()) {
+	c := &Client{calls: newHTTPClient(), probes: newHTTPClient()}
+	return c, func() {
+		c.calls.CloseIdleConnections()
+		c.probes.CloseIdleConnections()
+	}
+}
+
+func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, addr)
@@ -76,7 +85,7 @@
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 	}
-	return &Client{httpClient: &http.Client{Transport: transport, CheckRedirect: followNone}}, transport.CloseIdleConnections
+	return &http.Client{Transport: transport, CheckRedirect: followNone}
 }
 
 // followNone makes a client return redirects. The response of another server would count as
@@ -86,29 +95,21 @@
 // Send sends one request and waits for its result. It returns StatusNotSent only if
 // the server cannot have received the request: the transport had no connection yet.
 func (c *Client) Send(ctx context.Context, call lagoon.Call) lagoon.Reply {
-	var used atomic.Pointer[conn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(info.Conn.(*conn)) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	req, err := newRequest(ctx, call)
 	if err != nil {
 		return failedReply(lagoon.StatusNotSent, err)
 	}
 	if ctx.Err() != nil {
 		return failedReply(lagoon.StatusNotSent, ctx.Err())
 	}
-	id := strconv.FormatUint(c.calls.Add(1), 10)
-	req.Header.Set(CallIDHeader, id)
-	resp, err := c.httpClient.Do(req)
-	if err != nil && used.Load() == nil {
+	resp, connected, err := c.do(c.calls, req)
+	switch {
+	case err != nil && !connected:
 		return failedReply(lagoon.StatusNotSent, err)
-	}
-	if err != nil {
+	case err != nil:
 		return failedReply(lagoon.StatusUnknown, err)
 	}
 	defer resp.Body.Close()
-	if err := used.Load().check(resp, id); err != nil {
-		_ = used.Load().Close() // the response to this call may follow, and must be nobody's
-		return failedReply(lagoon.StatusUnknown, err)
-	}
 	body, err := whole.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return failedReply(lagoon.StatusUnknown, err)
@@ -116,6 +117,25 @@
 	return newReply(resp, body)
 }
 
+// do sends a request with a new call ID and returns the response to it. connected reports
+// whether there was a connection, so that the server may have received the request.
+func (c *Client) do(client *http.Client, req *http.Request) (resp *http.Response, connected bool, err error) {
+	var used atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(info.Conn.(*conn)) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	id := strconv.FormatUint(c.lastID.Add(1), 10)
+	req.Header.Set(CallIDHeader, id)
+	if resp, err = client.Do(req); err != nil {
+		return nil, used.Load() != nil, err
+	}
+	if err := used.Load().check(resp, id); err != nil {
+		_ = used.Load().Close() // the response to this call may follow, and must be nobody's
+		_ = resp.Body.Close()
+		return nil, true, err
+	}
+	return resp, true, nil
+}
+
 // conn is a connection to a server.
 type conn struct {
 	net.Conn
@@ -224,7 +244,7 @@
 	if err != nil {
 		return r, errors.Wrap(err, "probe")
 	}
-	resp, err := c.httpClient.Do(req)
+	resp, _, err := c.do(c.probes, req)
 	if err != nil {
 		return r, errors.Wrap(err, "probe")
 	}
--- a/internal/simsrv/simsrv.go
+++ b/internal/simsrv/simsrv.go
@@ -288,7 +288,7 @@
 	h.Set(htup.DrainingHeader, strconv.FormatBool(s.draining))
 }
 
-func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down := time.Now().Before(s.downUntil) || s.unreachable
 	report := map[string]any{"start_id": s.startID, "snapshots": s.snapshots, "draining": s.draining, "inflight": s.inflight, "cold": s.warmth < s.warmThreshold()}
@@ -296,6 +296,7 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(htup.CallIDHeader, r.Header.Get(htup.CallIDHeader))
 	_ = json.NewEncoder(w).Encode(report)
 }
 
