Check in the client library that an answer belongs to the query

What callers saw: where a copy of an earlier answer arrived late on a kept connection to a node, e.g. from a proxy between them, pkg/caller returned it as the answer to the next query.

Cause: an answer has the ID of its query, but the library did not compare it.

Evidence: before, TestLateCopyIsNotTheNextQuerysAnswer failed with "query 2: got the answer to "1-a", want that to "1-b"", and without IDs of the caller's with "got the answer to "of the node, 2", want that to "of the node, 3"".

An answer with another ID is now an error like a lost answer, and its connection is closed, as the real answer may follow. The library gives an idempotent query without an ID one, so that its answer can be compared as well; the node did that before.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -22,8 +22,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -103,6 +105,9 @@
 // idempotent query without an answer after hedgeDelay is also sent to a second node
 // if the hedge budget allows it, and the first answer is returned.
 func (c *Client) Query(ctx context.Context, q lagoon.Query) (lagoon.Answer, error) {
+	if q.ID() == "" && q.Idempotent() {
+		q.SetID(uuid.NewString())
+	}
 	q.SetNeverSent(c.markSent(q.ID()))
 	data, err := c.codec.EncodeQuery(q)
 	if err != nil {
@@ -161,7 +166,7 @@
 		if addr == "" {
 			return lagoon.Answer{}, errors.New("query: no node address is known")
 		}
-		answer, err := c.send(ctx, addr, data)
+		answer, err := c.send(ctx, addr, q.ID(), data)
 		if err == nil && (answer.Outcome() != lagoon.OutcomeNotRun || attempt > 0) {
 			return answer, nil
 		}
@@ -184,9 +189,12 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// send sends a query to one node and reads the answer.
-func (c *Client) send(ctx context.Context, addr string, data []byte) (lagoon.Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/query", bytes.NewReader(data))
+// send sends a query with an ID to one node and reads the answer. A second copy of an earlier
+// answer may arrive where that to the query is expected; the ID tells them apart.
+func (c *Client) send(ctx context.Context, addr, id string, data []byte) (lagoon.Answer, error) {
+	var conn atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+addr+"/v1/query", bytes.NewReader(data))
 	if err != nil {
 		return lagoon.Answer{}, err
 	}
@@ -200,7 +208,15 @@
 	if err != nil {
 		return lagoon.Answer{}, err
 	}
-	return c.codec.DecodeAnswer(body)
+	answer, err := c.codec.DecodeAnswer(body)
+	if err == nil && answer.ID() != id {
+		err = errors.Errorf("the answer belongs to query %q", answer.ID())
+	}
+	if err != nil {
+		_ = (*conn.Load()).Close() // the answer to this query may follow, and must be nobody's
+		return lagoon.Answer{}, err
+	}
+	return answer, nil
 }
 
 // chooseAddr returns the address for an attempt, in round-robin order: of the nodes
