Match answers in the client library by a call ID

What callers saw: a query that a node had answered with not_run was sent again. A late copy of the first answer on the connection counted as that to the second attempt: the caller was told that the query did not run, and it ran.

Cause: all attempts of a query have its ID, and the library may send two on one connection.

The library now gives each attempt an ID of its own in X-Call-Id, the name that calls to servers use, and the node returns it. An answer with another ID is a lost answer.

--- a/internal/clustr/clustr_test.go
+++ b/internal/clustr/clustr_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +68,24 @@
 		}
 	}
 }
+
+// Guards against a late copy of the answer to an earlier attempt that the caller cannot
+// recognise, because the answer lacks the ID of the call.
+func TestAnswersHaveCallID(t *testing.T) {
+	c := startCluster(t, "small", 1)
+	for _, body := range []string{`{"service":"archive-desk"}`, `{"service":"nothing"}`, `{}`} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+c.Addrs()[0]+"/v1/query", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Call-Id", "a-7")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if got, want := resp.Header.Get("X-Call-Id"), "a-7"; got != want {
+			t.Errorf("%s: got call ID %q, want %q", body, got, want)
+		}
+	}
+}
--- a/internal/htapi/query.go
+++ b/internal/htapi/query.go
@@ -10,10 +10,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/wire"
 	"github.com/lagoontrail/lagoon/internal/world"
 )
 
 func (a *API) query(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(wire.CallIDHeader); id != "" {
+		w.Header().Set(wire.CallIDHeader, id)
+	}
 	q, err := a.decodeQuery(w, r)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -9,6 +9,9 @@
 	"github.com/lagoontrail/lagoon"
 )
 
+// CallIDHeader is the header with the ID of a call for a query. A node returns it with the answer.
+const CallIDHeader = "X-Call-Id"
+
 // maxTimeout is the maximum timeout that a caller may request.
 const maxTimeout = time.Minute
 
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -189,8 +189,7 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// send sends a query with an ID to one node and reads the answer. A second copy of an earlier
-// answer may arrive where that to the query is expected; the ID tells them apart.
+// send sends a query with an ID to one node and reads the answer.
 func (c *Client) send(ctx context.Context, addr, id string, data []byte) (lagoon.Answer, error) {
 	var conn atomic.Pointer[net.Conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
@@ -199,24 +198,37 @@
 		return lagoon.Answer{}, err
 	}
 	req.GetBody = nil // prevents retries by http.Transport
+	callID := uuid.NewString()
+	req.Header.Set(wire.CallIDHeader, callID)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return lagoon.Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := whole.Read(resp.Body, maxBodyBytes)
+	answer, err := c.readAnswer(resp, callID, id)
 	if err != nil {
+		_ = (*conn.Load()).Close() // the answer to this query may follow, and must be nobody's
 		return lagoon.Answer{}, err
 	}
-	answer, err := c.codec.DecodeAnswer(body)
-	if err == nil && answer.ID() != id {
-		err = errors.Errorf("the answer belongs to query %q", answer.ID())
+	return answer, nil
+}
+
+// readAnswer reads the answer to a call with the query with an ID. A second copy of an earlier
+// answer may arrive where that to the call is expected; the IDs tell them apart. Nodes of earlier
+// releases return no call ID.
+func (c *Client) readAnswer(resp *http.Response, callID, id string) (lagoon.Answer, error) {
+	if got := resp.Header.Get(wire.CallIDHeader); got != "" && got != callID {
+		return lagoon.Answer{}, errors.Errorf("the answer belongs to call %q", got)
 	}
+	body, err := whole.Read(resp.Body, maxBodyBytes)
 	if err != nil {
-		_ = (*conn.Load()).Close() // the answer to this query may follow, and must be nobody's
 		return lagoon.Answer{}, err
 	}
-	return answer, nil
+	answer, err := c.codec.DecodeAnswer(body)
+	if err == nil && answer.ID() != id {
+		return lagoon.Answer{}, errors.Errorf("the answer belongs to query %q", answer.ID())
+	}
+	return answer, err
 }
 
 // chooseAddr returns the address for an attempt, in round-robin order: of the nodes
