Test that messages between nodes are not taken for those of other requests

Ways in which a reply between nodes could be taken for that to another request, and that the code excludes. Each test fails without the code that excludes it (go test ./internal/trfc after each of these changes, one at a time):

- a repeated response: Ended in gather (TestRepeatedResponseIsIgnored)
- the slower of a request and its hedge: Resolved in gather (TestLateResponseAfterHedgeIsIgnored)
- a claim response for an earlier run, an earlier query, or a second one: the attempt, the generation and the state in resume (TestClaimResponseToAnotherQueryIsIgnored)
- responses of one tick for several lanes or runs: lane and start ID in lane.SendResponse (TestResponsesAreSentToTheirLaneAndRun)
- a response to a node without a known address: the start ID in lane.flushResponses (TestResponseToAnUnknownNodeIsNotForThisNode)

--- a/internal/trfc/answers_test.go
+++ b/internal/trfc/answers_test.go
@@ -1,7 +1,10 @@
 package trfc_test
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,3 +211,264 @@
 		t.Errorf("the other lane's query: got %v after %d retries (%s), want answered after none", a.Outcome(), a.Retries(), a.Reason())
 	}
 }
+
+// newEntryLane returns a lane of a node that owns no server; the node o, at another address,
+// owns all.
+func newEntryLane(t *testing.T, change func(v *view.View)) *tickedLane {
+	t.Helper()
+	return newTickedLane(t, twoShardView(func(v *view.View) {
+		v.SetServers(slices.Clone(v.Servers()))
+		for i := range v.Servers() {
+			s := &v.Servers()[i]
+			s.SetOwned(false)
+			s.SetOwner("o")
+			s.SetOwnerAddr("o:1")
+		}
+		if change != nil {
+			change(v)
+		}
+	}))
+}
+
+// start starts a query and returns the channel of its answer and the requests that were sent.
+func (l *tickedLane) start(change func(q *lagoon.Query)) (<-chan lagoon.Answer, []lagoon.ShardRequest) {
+	answers := make(chan lagoon.Answer, 1)
+	row := &query.Row{}
+	row.SetQuery(newQuery("desk", func(q *lagoon.Query) {
+		q.SetTimeout(time.Minute)
+		if change != nil {
+			change(q)
+		}
+	}))
+	row.SetAnswerChan(answers)
+	l.Tick([]any{row})
+	return answers, l.takeRequests()
+}
+
+// takeRequests returns the shard requests sent since the last call, by shard.
+func (l *tickedLane) takeRequests() []lagoon.ShardRequest {
+	var out []lagoon.ShardRequest
+	for _, m := range l.link.sent {
+		if b, ok := m.(*lagoon.ShardRequestBatch); ok {
+			out = append(out, b.Requests()...)
+		}
+	}
+	l.link.sent = nil
+	slices.SortFunc(out, func(a, b lagoon.ShardRequest) int { return cmp.Compare(a.Shard(), b.Shard()) })
+	return out
+}
+
+// respond delivers a response to a request of a run of the node.
+func (l *tickedLane) respond(startID uint64, id uint64, status lagoon.Status, body string) {
+	var r lagoon.ShardResponse
+	r.SetID(id)
+	r.SetStatus(status)
+	r.SetBody([]byte(body))
+	m := &lagoon.ShardResponseBatch{}
+	m.SetStartID(startID)
+	m.SetResponses([]lagoon.ShardResponse{r})
+	l.Tick([]any{m})
+}
+
+// wantAnswer checks that a query was answered with a part for each shard.
+func wantAnswer(t *testing.T, answers <-chan lagoon.Answer, want ...string) {
+	t.Helper()
+	select {
+	case a := <-answers:
+		var got []string
+		for _, p := range a.Parts() {
+			got = append(got, string(p.Body()))
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("parts: got %q (%v, %s), want %q", got, a.Outcome(), a.Reason(), want)
+		}
+	default:
+		t.Error("the query was not answered")
+	}
+}
+
+// Guards against a response to a request of an earlier run of the entry node, which had the
+// same address and the same row IDs.
+func TestResponseToAnEarlierRunIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	answers, sent := l.start(nil)
+	l.respond(9, sent[0].ID(), lagoon.StatusOK, "of the earlier run")
+	l.respond(1, sent[0].ID(), lagoon.StatusOK, "0")
+	l.respond(1, sent[1].ID(), lagoon.StatusOK, "1")
+	wantAnswer(t, answers, "0", "1")
+}
+
+// Guards against a late response to an earlier query, whose rows were in the same slots.
+func TestLateResponseToAnEarlierQueryIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	answers, earlier := l.start(func(q *lagoon.Query) { q.SetTimeout(time.Second) })
+	l.clock.now += 2 * time.Second
+	l.Tick(nil)
+	wantAnswer(t, answers)
+	l.takeRequests()
+	answers, sent := l.start(nil)
+	for i := range sent {
+		if got, want := lagoon.RowID(earlier[i].ID()).Slot(), lagoon.RowID(sent[1-i].ID()).Slot(); got != want {
+			t.Fatalf("slot: got %d, want %d, that of the earlier query", got, want)
+		}
+		l.respond(1, earlier[i].ID(), lagoon.StatusOK, "of the earlier query")
+	}
+	l.respond(1, sent[0].ID(), lagoon.StatusOK, "0")
+	l.respond(1, sent[1].ID(), lagoon.StatusOK, "1")
+	wantAnswer(t, answers, "0", "1")
+}
+
+// Guards against a repeated response: a second refusal would end the attempt that followed the
+// first, and a second response would replace the one that was counted.
+func TestRepeatedResponseIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	answers, sent := l.start(nil)
+	l.respond(1, sent[0].ID(), lagoon.StatusNotSent, "")
+	retried := l.takeRequests()
+	if got, want := len(retried), 1; got != want {
+		t.Fatalf("requests after a response that it was not sent: got %d, want %d", got, want)
+	}
+	l.respond(1, sent[0].ID(), lagoon.StatusNotSent, "")
+	l.respond(1, sent[0].ID(), lagoon.StatusOK, "of the first attempt")
+	if got, want := len(l.takeRequests()), 0; got != want {
+		t.Errorf("requests after a repeated response: got %d, want %d", got, want)
+	}
+	l.respond(1, retried[0].ID(), lagoon.StatusOK, "0")
+	l.respond(1, retried[0].ID(), lagoon.StatusOK, "0 again")
+	l.respond(1, sent[1].ID(), lagoon.StatusOK, "1")
+	wantAnswer(t, answers, "0", "1")
+}
+
+// Guards against the late response of the attempt that lost against a hedge: it must not
+// replace the part of the one that won, nor count for the shard a second time.
+func TestLateResponseAfterHedgeIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	l.SetHedgePolicy(hedgeAll{})
+	answers, sent := l.start(nil)
+	l.clock.now += 100 * time.Millisecond
+	l.Tick(nil)
+	hedges := l.takeRequests()
+	if got, want := len(hedges), 1; got < want {
+		t.Fatalf("hedges: got %d, want at least %d", got, want)
+	}
+	shard := hedges[0].Shard()
+	l.respond(1, hedges[0].ID(), lagoon.StatusOK, fmt.Sprint(shard))
+	l.respond(1, sent[shard].ID(), lagoon.StatusOK, "of the slow attempt")
+	l.respond(1, sent[1-shard].ID(), lagoon.StatusOK, fmt.Sprint(1-shard))
+	wantAnswer(t, answers, "0", "1")
+}
+
+// hedgeAll is a policy that hedges each request that is due.
+type hedgeAll struct{}
+
+func (hedgeAll) Hedge(lagoon.HedgeView) (bool, time.Duration) { return true, 0 }
+
+// Guards against the response of an attempt for a snapshot that is gone, which arrives after the
+// query was sent again, for another snapshot, to the same servers.
+func TestResponseForAnEarlierSnapshotIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	answers, sent := l.start(nil)
+	earlier := slices.Clone(sent)
+	for len(sent) > 0 && len(earlier) < 5 {
+		l.respond(1, sent[0].ID(), lagoon.StatusSnapshotGone, "")
+		sent = l.takeRequests()
+		earlier = append(earlier, sent...)
+	}
+	if got, want := len(sent), 2; got != want {
+		t.Fatalf("requests after the query was planned again: got %d, want %d", got, want)
+	}
+	for _, req := range earlier[:len(earlier)-2] {
+		l.respond(1, req.ID(), lagoon.StatusOK, "of the earlier snapshot")
+	}
+	l.respond(1, sent[0].ID(), lagoon.StatusOK, "0")
+	l.respond(1, sent[1].ID(), lagoon.StatusOK, "1")
+	wantAnswer(t, answers, "0", "1")
+}
+
+// Guards against a claim that was granted to an earlier run of the node, or to another query,
+// and lets a query run that has none.
+func TestClaimResponseToAnotherQueryIsIgnored(t *testing.T) {
+	l := newEntryLane(t, nil)
+	_, sent := l.start(func(q *lagoon.Query) {
+		q.SetIdempotent(false)
+		q.SetID(fmt.Sprintf("%d-a", l.clock.Wall().UnixMilli()))
+	})
+	if got, want := len(sent), 0; got != want {
+		t.Fatalf("requests before a claim: got %d, want %d", got, want)
+	}
+	var claim *lagoon.ClaimRequest
+	for _, m := range l.control.Wait(t.Context(), time.Second, nil) {
+		if c, ok := m.(*lagoon.ClaimRequest); ok {
+			claim = c
+		}
+	}
+	if claim == nil {
+		t.Fatal("no claim was requested")
+	}
+	cases := []struct {
+		name           string
+		query, attempt uint64
+		want           int
+	}{
+		{"an earlier run", claim.QueryID(), claim.Attempt() + 1, 0},
+		{"an earlier query", claim.QueryID() - 1<<32, claim.Attempt(), 0},
+		{"the query", claim.QueryID(), claim.Attempt(), 2},
+		{"the query again", claim.QueryID(), claim.Attempt(), 0},
+	}
+	for _, c := range cases {
+		m := &lagoon.ClaimResponse{}
+		m.SetQueryID(c.query)
+		m.SetAttempt(c.attempt)
+		m.SetOutcome(lagoon.ClaimGranted)
+		l.Tick([]any{m})
+		if got := len(l.takeRequests()); got != c.want {
+			t.Errorf("requests after the claim of %s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against responses of one tick that go together although they are for different lanes
+// or runs of a node, where the same IDs name other requests.
+func TestResponsesAreSentToTheirLaneAndRun(t *testing.T) {
+	l := newTickedLane(t, twoShardView(func(v *view.View) {
+		v.SetPeerAddrs(map[string]string{"e": "e:1"})
+	}))
+	type target struct {
+		startID uint64
+		lane    int
+	}
+	want := []target{{7, 0}, {7, 1}, {8, 1}}
+	var items []any
+	for i, to := range want {
+		items = append(items, newOwnerBatch(to.startID, to.lane, uint64(i), "undeclared"))
+	}
+	l.Tick(items)
+	var got []target
+	for _, m := range l.link.sent {
+		b := m.(*lagoon.ShardResponseBatch)
+		for _, r := range b.Responses() {
+			if r.ID() != uint64(len(got)) {
+				t.Errorf("response %d: got ID %d, want %d", len(got), r.ID(), len(got))
+			}
+			got = append(got, target{b.StartID(), b.Lane()})
+		}
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Guards against the response to a node that this one does not know, which has no address to send
+// it to, as the response to a request of this node with the same ID.
+func TestResponseToAnUnknownNodeIsNotForThisNode(t *testing.T) {
+	l := newEntryLane(t, nil)
+	answers, sent := l.start(nil)
+	l.Tick([]any{newOwnerBatch(7, 0, sent[0].ID(), "undeclared")})
+	l.Tick(nil)
+	if got, want := len(l.takeRequests()), 0; got != want {
+		t.Errorf("requests that are repeated: got %d, want %d", got, want)
+	}
+	l.respond(1, sent[0].ID(), lagoon.StatusOK, "0")
+	l.respond(1, sent[1].ID(), lagoon.StatusOK, "1")
+	wantAnswer(t, answers, "0", "1")
+}
