Test that a delayed heartbeat of an earlier run changes nothing

The start ID in beats.receive excludes it. Without that line TestDelayedHeartbeatOfEarlierRunIsIgnored fails: "node-01: got stopping true and roster version, want those of the later run".

--- a/internal/direct/ctrl/edge_test.go
+++ b/internal/direct/ctrl/edge_test.go
@@ -155,3 +155,38 @@
 		versions[n] = catalog.Version()
 	}
 }
+
+// Guards against a delayed heartbeat of an earlier run of a node that counts as one of its later
+// run: the node would count as stopping, and its list of live nodes as empty.
+func TestDelayedHeartbeatOfEarlierRunIsIgnored(t *testing.T) {
+	f := newFleet(t, 13)
+	f.run(5 * time.Second)
+	hub := f.hubs()[0]
+	late := &lagoon.Heartbeat{}
+	late.SetFrom(hub.self)
+	late.SetHub(true)
+	late.SetStopping(true)
+	late.SetHasRoster(true)
+	late.SetRosterVersion(hub.control.Roster().Version() + 1)
+	later := f.start(hub.self.Name(), hub.self.Zone())
+	f.run(5 * time.Second)
+	for _, n := range f.nodes {
+		n.mailbox = append(n.mailbox, late)
+	}
+	f.run(tickStep)
+	for _, n := range f.nodes {
+		if n == later {
+			continue
+		}
+		row, ok := n.control.Peers().Find(later.self.Name())
+		if !ok {
+			t.Fatalf("%s: the node that was restarted is not known", n.self.Name())
+		}
+		if got, want := row.Member().StartID(), later.self.StartID(); got != want {
+			t.Errorf("%s: start ID: got %d, want %d, that of the later run", n.self.Name(), got, want)
+		}
+		if row.Stopping() || row.RosterVersion() == late.RosterVersion() {
+			t.Errorf("%s: got stopping %t and roster version %d, want those of the later run", n.self.Name(), row.Stopping(), row.RosterVersion())
+		}
+	}
+}
