--- a/internal/clustr/failure_test.go
+++ b/internal/clustr/failure_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,6 +128,63 @@
 	}
 }
 
+// Guards against the answer to another query, or the response for another shard, when nodes restart
+// at the same address and number their queries from the start again: entry nodes and owners.
+func TestAnswersAreTheOwnOnesWhileNodesRestart(t *testing.T) {
+	const clients, restarts = 8, 2
+	c := startCluster(t, "small", 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	var answered atomic.Int64
+	ask := func(client *caller.Client, id string) {
+		q := readQuery("archive-desk")
+		q.SetID(id)
+		queryCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		a, err := client.Query(queryCtx, q)
+		if err != nil {
+			return // the node was killed
+		}
+		if got := a.ID(); got != id {
+			t.Errorf("got the answer to %q, want that to %q", got, id)
+		}
+		for _, p := range a.Parts() {
+			answered.Add(1)
+			if got, want := string(p.Body()), fmt.Sprintf("/%d/", p.Shard()); !strings.HasPrefix(got, "archive-desk") || !strings.Contains(got, want) {
+				t.Errorf("%s, shard %d: got %q, want archive-desk and %q", id, p.Shard(), got, want)
+			}
+		}
+	}
+	for i := range clients {
+		client, stop := caller.New("cph-1", c.Addrs()...)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer stop()
+			for n := 0; ctx.Err() == nil; n++ {
+				ask(client, fmt.Sprintf("%d-%d", i, n))
+			}
+		}()
+	}
+	for range restarts {
+		for i := range c.Nodes() {
+			c.KillNode(i)
+			time.Sleep(100 * time.Millisecond)
+			if err := c.StartNode(i); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+	}
+	cancel()
+	wg.Wait()
+	if answered.Load() == 0 {
+		t.Error("got no parts, want some")
+	}
+}
+
 // Guards against goroutines that outlive the deployment, also when one of its nodes
 // was stopped earlier.
 func TestStopLeaksNoGoroutine(t *testing.T) {
