Count a stamp once, and leave out parts that share one

Callers of a gather route saw a success that named one stamp twice, with Missing-Parts 0, which makes the whole response wrong. Of a route to one service they saw a response without a single stamp, where another server could have served it.

Cause: nothing compared the stamps of parts, and the decision did not know about stamps at all.

Evidence: TestStampOfTwoShardsCountsForNeither failed before, in virtual time: two_shards: parts_test.go:65: parts: got [same same shard-2a ... shard-9a], want none with the stamp of two shards two_shards: parts_test.go:68: parts and missing shards: got 10 0, want 8 2 all_shards: parts_test.go:59: outcome: got gathered, want lost and TestResponseWithoutOwnStampIsLost: parts_test.go:84: failure false: got outcome served with stamp "", want served with one

A reply whose stamp another shard's reply has, or that has no single one, now counts as lost: it may be repeated within the limits of lost responses, and the other shard counts as missing. The shards keep the stamp, so that a third one is found too. Too little coverage without them fails the request. Decisions see a stamp through lagoon.StampedReply and not its encoding.

TestFailureIsNoPart passes without a change: gatheredResponse takes the replies of covered shards only.

--- a/interfaces.go
+++ b/interfaces.go
@@ -141,6 +141,12 @@
 	Do(ctx context.Context, a Attempt) AttemptResult
 }
 
+// StampedReply is a server's response with a stamp that the server gave to it alone. Stamp
+// returns an empty string if the response does not have exactly one.
+type StampedReply interface {
+	Stamp() string
+}
+
 // Router routes requests. It does not depend on their encoding. The request is
 // cancelled when ctx is done.
 type Router interface {
--- a/internal/direct/shards/accessors_gen.go
+++ b/internal/direct/shards/accessors_gen.go
@@ -89,6 +89,12 @@
 // SetReply sets the server's response.
 func (v *Row) SetReply(x any) { v.reply = x }
 
+// Stamp returns the stamp of the last response, also of one that is not used.
+func (v *Row) Stamp() string { return v.stamp }
+
+// SetStamp sets the stamp of the last response, also of one that is not used.
+func (v *Row) SetStamp(x string) { v.stamp = x }
+
 // AttemptReason returns the reason for the queued or last attempt.
 func (v *Row) AttemptReason() string { return v.attemptReason }
 
--- a/internal/direct/shards/shards.go
+++ b/internal/direct/shards/shards.go
@@ -40,6 +40,7 @@
 	inflight       int            // the number of attempts in flight
 	attempts       []lagoon.RowID // the attempts
 	reply          any            // the server's response
+	stamp          string         // the stamp of the last response, also of one that is not used
 	attemptReason  string         // the reason for the queued or last attempt
 	attemptPending bool           // whether an attempt waits in the queue
 	queuedAt       time.Duration  // when the pending attempt was queued
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -23,6 +23,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/stamps"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 )
 
@@ -73,6 +74,7 @@
 		if !ok {
 			continue
 		}
+		stamps.Check(l, attempt)
 		recordHealth(l, attempt, now)
 		recordUnsolicited(l, attempt)
 		if !attempt.RequestDone() {
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -74,6 +74,8 @@
 	leaving      bool            // whether its responses say that it is leaving
 	closedUntil  time.Duration   // until when it refuses all requests and asks for a pause of the time that is left
 	otherServer  string          // the ID of the server that responds in its place; empty for none
+	fails        bool            // responds to each request with a failure
+	reply        any             // what it responds with; nil for a reply without a stamp
 }
 
 type job struct {
@@ -349,6 +351,8 @@
 		srv.busySlots--
 		if srv.dropsReplies || s.rng.Float64() < srv.lossRate {
 			s.finish(j, lagoon.StatusUnknown)
+		} else if srv.fails {
+			s.finish(j, lagoon.StatusFailed)
 		} else {
 			s.finish(j, lagoon.StatusOK)
 		}
@@ -371,6 +375,9 @@
 	var v lagoon.AttemptResult
 	v.SetStatus(status)
 	v.SetReply("answer")
+	if j.server != nil && j.server.reply != nil {
+		v.SetReply(j.server.reply)
+	}
 	if j.server != nil && status != lagoon.StatusUnknown {
 		v.SetRunning(j.server.busySlots)
 		v.SetQueued(len(j.server.queue))
