Pass on no stored failure after a later attempt was lost

Cause: the failure of an attempt is stored for the response, and the loss of a later attempt left it there.

Evidence: TestOverlappingAttemptsDoNotReplaceAnswers failed before, in virtual time: failure,_then_losses: overlap_test.go:105: got failed 1, want lost <nil>

A lost attempt now discards the stored failure, so that the caller gets a 502 of the node, which promises nothing. A failure that arrives after a loss, or is followed by refusals only, is passed on as before. The other twelve orders of arrival pass without a change.

--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -223,8 +223,11 @@
 		return
 	}
 	shard.SetDetail(result.Status().String() + ": " + result.Detail())
-	if result.Status() == lagoon.StatusFailed {
+	switch result.Status() {
+	case lagoon.StatusFailed:
 		shard.SetReply(result.Reply())
+	case lagoon.StatusUnknown:
+		shard.SetReply(nil) // its server may have answered with a success, so an earlier failure is not what became of the request
 	}
 	if shard.AttemptPending() || (shard.Inflight() > 0 && !result.Status().NotRun()) {
 		return
