Send no further attempt that cannot be answered in time

Callers got a failure, or a 504, where a further attempt had been sent a few milliseconds before the deadline and its server answered it with a success that came too late. The server's work was for nobody, and the attempt took a token of the retry budget.

Cause: a further attempt was sent as long as the deadline had not passed.

An attempt cannot end sooner than the fastest of the recent ones on its route did, which package timely compares with the time that is left. Repeats, hedges and repeats that waited for the budget ask it; the caller gets what is known at once instead of a 504 at the deadline. First attempts are not limited, as they show when servers have become faster.

The time of opening a connection is not measured by the sender, so it counts only as far as the fastest attempt opened one.

--- a/internal/direct/trfc/hedge/hedge.go
+++ b/internal/direct/trfc/hedge/hedge.go
@@ -18,6 +18,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
@@ -63,7 +64,7 @@
 }
 
 func tryHedge(l *loop.Loop, id lagoon.RowID, attempt *tries.Row, shard *shards.Row, req *reqs.Row, now time.Duration) {
-	if !req.Route().Idempotent() || (shard.TriedServers() >= req.Route().MaxAttempts() && len(shard.RefusedBy())+len(shard.LostBy()) == 0) {
+	if !req.Route().Idempotent() || (shard.TriedServers() >= req.Route().MaxAttempts() && len(shard.RefusedBy())+len(shard.LostBy()) == 0) || !timely.Enough(l, req, now) {
 		return
 	}
 	budget := l.Budgets().Ensure(attempt.Service())
--- a/internal/direct/trfc/parts_test.go
+++ b/internal/direct/trfc/parts_test.go
@@ -74,14 +74,14 @@
 // Guards against a response whose head has no single stamp and that is passed on, or counts
 // as a part: it is lost, and the request is sent to another server.
 func TestResponseWithoutOwnStampIsLost(t *testing.T) {
-	for _, fails := range []bool{false, true} {
+	for _, failRate := range []float64{0, 1} {
 		s, names := newStampedSim(t, 1)
-		s.servers[names[0]+"a"].reply, s.servers[names[0]+"a"].fails = stampedReply(""), fails
+		s.servers[names[0]+"a"].reply, s.servers[names[0]+"a"].failRate = stampedReply(""), failRate
 		s.publish(singleRoute(true))
 		q := s.submit()
 		s.runUntil(s.now + 3*time.Second)
 		if got, want := q.response.Outcome(), lagoon.RequestServed; got != want || q.response.Reply() == any(stampedReply("")) {
-			t.Errorf("failure %t: got outcome %s with stamp %q, want %s with one", fails, got, q.response.Reply(), want)
+			t.Errorf("share of failures %g: got outcome %s with stamp %q, want %s with one", failRate, got, q.response.Reply(), want)
 		}
 	}
 }
@@ -89,7 +89,7 @@
 // Guards against a failure of a server that counts as a part because it has a stamp.
 func TestFailureIsNoPart(t *testing.T) {
 	s, names := newStampedSim(t, 10)
-	s.setServers(names[4], func(srv *server) { srv.fails = true })
+	s.setServers(names[4], func(srv *server) { srv.failRate = 1 })
 	s.publish(gatherRoute(names))
 	q := s.submit()
 	s.runUntil(s.now + 3*time.Second)
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -24,6 +24,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/stamps"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 )
 
@@ -314,7 +315,7 @@
 func shouldRetry(l *loop.Loop, req *reqs.Row, shard *shards.Row, result lagoon.AttemptResult, now time.Duration) bool {
 	serversLeft := shard.TriedServers() < req.Route().MaxAttempts()
 	switch {
-	case now >= req.Deadline():
+	case !timely.Enough(l, req, now):
 		return false
 	case !reachedServer(result):
 		return len(shard.Excluded()) <= maxMisdirected && (serversLeft || len(shard.RefusedBy())+len(shard.LostBy()) > 0)
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -28,6 +28,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/choose"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
@@ -175,6 +176,10 @@
 }
 
 func (s *System) schedule(l *loop.Loop, id lagoon.RowID, shard *shards.Row, req *reqs.Row, now time.Duration) {
+	if len(shard.Attempts()) > 0 && !timely.Enough(l, req, now) {
+		dropAttempt(l, shard, req, "too little time is left for a response")
+		return
+	}
 	if now < shard.NotBefore() {
 		l.Enqueue(id)
 		return
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -74,7 +74,7 @@
 	leaving      bool            // whether its responses say that it is leaving
 	closedUntil  time.Duration   // until when it refuses all requests and asks for a pause of the time that is left
 	otherServer  string          // the ID of the server that responds in its place; empty for none
-	fails        bool            // responds to each request with a failure
+	failRate     float64         // the share of requests that it runs and answers with a failure
 	reply        any             // what it responds with; nil for a reply without a stamp
 }
 
@@ -351,7 +351,7 @@
 		srv.busySlots--
 		if srv.dropsReplies || s.rng.Float64() < srv.lossRate {
 			s.finish(j, lagoon.StatusUnknown)
-		} else if srv.fails {
+		} else if srv.failRate > 0 && s.rng.Float64() < srv.failRate {
 			s.finish(j, lagoon.StatusFailed)
 		} else {
 			s.finish(j, lagoon.StatusOK)
--- a/pkg/window/window.go
+++ b/pkg/window/window.go
@@ -31,6 +31,7 @@
 type Window struct {
 	histogram         *hdr.WindowedHistogram
 	merged            *hdr.Histogram
+	shortest          time.Duration // of merged
 	rotatedAt         time.Duration
 	recordsSinceMerge int
 	cache             []quantile
@@ -59,6 +60,7 @@
 	if w.merged == nil || w.recordsSinceMerge >= mergeBatch {
 		w.recordsSinceMerge = 0
 		w.merged = w.histogram.Merge()
+		w.shortest = time.Duration(w.merged.Min()) * time.Microsecond
 		w.cache = w.cache[:0]
 	}
 }
@@ -81,3 +83,6 @@
 	w.cache = append(w.cache, quantile{percent, value})
 	return value
 }
+
+// Min returns the shortest of the durations, or 0 if there are none.
+func (w *Window) Min() time.Duration { return w.shortest }
