Test that a late answer reaches no other request

TestLateAnswerReachesNobody has answers of five kinds that arrive after their request was served by another attempt, after the linger time, after the caller left, after the deadline and after the end of a stop, while the rows of the request and of an ended attempt are in use again, and a result that is posted twice. It passes without a change. What prevents the fault is the generation in Table.Resolve of internal/rows: without that comparison, or without its increment in Remove, the test panics with an index out of range. The check of RequestDone in result is not needed for it: without that line the test passes.

--- a/internal/direct/trfc/overlap_test.go
+++ b/internal/direct/trfc/overlap_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/reply"
 )
 
 // attemptEnd is the end of an attempt, given by its number from 1 on.
@@ -107,3 +108,69 @@
 		})
 	}
 }
+
+// Guards against an answer that reaches another request: it arrives after its own request is
+// done, when the rows of the request, of its shard and of its ended attempts are in use again.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		finish       func(m *manualSim, ch chan lagoon.Response) // ends the first request
+		want         lagoon.RequestOutcome
+		wantCanceled bool // whether its second attempt is cancelled
+	}{
+		{"the other attempt served it", func(m *manualSim, _ chan lagoon.Response) { m.end(attemptEnd{1, lagoon.StatusOK}) }, lagoon.RequestServed, false},
+		{"the linger time is over", func(m *manualSim, _ chan lagoon.Response) {
+			m.end(attemptEnd{1, lagoon.StatusOK})
+			m.runUntil(m.now + reply.Linger + time.Millisecond)
+		}, lagoon.RequestServed, true},
+		{"the caller left", func(m *manualSim, ch chan lagoon.Response) {
+			m.disconnect(ch)
+			m.end(attemptEnd{1, lagoon.StatusUnknown})
+		}, lagoon.RequestCanceled, true},
+		{"the deadline passed", func(m *manualSim, _ chan lagoon.Response) {
+			m.runUntil(m.now + 10*time.Second)
+			m.end(attemptEnd{1, lagoon.StatusUnknown})
+		}, lagoon.RequestExpired, true},
+		{"the node stops", func(m *manualSim, _ chan lagoon.Response) {
+			v := *m.publishedView.Load()
+			v.SetStopping(true)
+			v.SetRefuseAt(m.now + time.Second)
+			v.SetStopAt(m.now + 2*time.Second)
+			m.publishedView.Store(&v)
+			m.runUntil(m.now + 2*time.Second)
+			m.end(attemptEnd{1, lagoon.StatusUnknown})
+			v.SetStopAt(0)
+			m.publishedView.Store(&v)
+		}, lagoon.RequestExpired, true},
+	} {
+		for _, late := range []lagoon.Status{lagoon.StatusOK, lagoon.StatusFailed, lagoon.StatusUnknown, lagoon.StatusRefused, lagoon.StatusNotSent} {
+			t.Run(c.name+", "+late.String(), func(t *testing.T) {
+				m := newManualSim(t, singleRoute(true), 1)
+				first := m.startTwo(t)
+				for ch := range m.pending {
+					c.finish(m, ch)
+				}
+				if got := first.response.Outcome(); got != c.want || m.canceled[2] != c.wantCanceled {
+					t.Fatalf("first request: got %s with its attempt cancelled %t, want %s and %t", got, m.canceled[2], c.want, c.wantCanceled)
+				}
+				wantFirst := fmt.Sprint(first.response)
+				second := m.submit()
+				if got, want := m.ids[2].Slot(), m.ids[0].Slot(); len(m.ids) != 3 || got != want {
+					t.Fatalf("slot of the second request's attempt: got %d, want %d, that of an ended one", got, want)
+				}
+				m.end(attemptEnd{2, late})
+				m.end(attemptEnd{1, late}) // an attempt ends once; its row is in use again
+				if _, pending := m.loop.Attempts().Resolve(m.ids[2]); !pending || len(m.pending) != 1 {
+					t.Fatalf("second request: got %s %v from the attempt of another one, want none yet", second.response.Outcome(), second.response.Reply())
+				}
+				m.end(attemptEnd{3, lagoon.StatusOK})
+				if got, want := fmt.Sprint(second.response.Outcome(), " ", second.response.Reply()), "served 3"; got != want {
+					t.Errorf("second request: got %s, want %s", got, want)
+				}
+				if got := fmt.Sprint(first.response); got != wantFirst {
+					t.Errorf("first request: got %s, want %s as before", got, wantFirst)
+				}
+			})
+		}
+	}
+}
