Find joined heads in one package

Three clients had a check of their own for a second status line in a head. internal/heads now has it for the head as received, which platform/sender sees, and for one that net/http has parsed, with the two cases that the review had found: two spaces before the code, and the names of trailers. Not noticed in a parsed head: a Connection header that net/http removes from the last response on a connection (the store's client, htup, htplat).

--- a/internal/htplat/htplat.go
+++ b/internal/htplat/htplat.go
@@ -29,7 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
-	"github.com/lagoontrail/lagoon/pkg/heads"
+	"github.com/lagoontrail/lagoon/internal/heads"
 	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
--- a/internal/htup/htup.go
+++ b/internal/htup/htup.go
@@ -21,8 +21,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -31,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/heads"
 	"github.com/lagoontrail/lagoon/pkg/whole"
 )
 
@@ -150,30 +149,10 @@
 		return errors.New("the response has no call ID, as earlier ones on its connection had")
 	case got != "" && got != id:
 		return errors.Errorf("the response belongs to call %q", got)
-	case joined(resp):
-		return errors.New("the head of the response is joined to other bytes")
 	case got == id:
 		c.returnsID.Store(true)
 	}
-	return nil
-}
-
-// statusLine matches the beginning of a response.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
-
-// joined reports whether the head of a response contains the beginning of another one. Bytes that
-// a server sends after a response are joined to its next one, whose status line then is the end
-// of a line of the former. Lines that contain it elsewhere are malformed.
-func joined(resp *http.Response) bool {
-	if statusLine.MatchString(resp.Status) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
+	return heads.Check(resp)
 }
 
 func newRequest(ctx context.Context, call lagoon.Call) (*http.Request, error) {
