--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -418,12 +418,6 @@
 // SetPause sets how long the server wants no requests from this node; 0 if it did not say so.
 func (v *AttemptResult) SetPause(x time.Duration) { v.pause = x }
 
-// Stamp returns identifies the response in the server's own records, for logs; empty if it has no such value.
-func (v AttemptResult) Stamp() string { return v.stamp }
-
-// SetStamp sets identifies the response in the server's own records, for logs; empty if it has no such value.
-func (v *AttemptResult) SetStamp(x string) { v.stamp = x }
-
 // Unsolicited returns what the server sent that belongs to no attempt in progress, for logs; empty for nothing.
 func (v AttemptResult) Unsolicited() string { return v.unsolicited }
 
--- a/direct.go
+++ b/direct.go
@@ -112,7 +112,6 @@
 	leaving       bool          // whether a server said in its response that it is leaving
 	leavingServer string        // the ID of that server, if it is not the one that the attempt was for
 	pause         time.Duration // how long the server wants no requests from this node; 0 if it did not say so
-	stamp         string        // identifies the response in the server's own records, for logs; empty if it has no such value
 	unsolicited   string        // what the server sent that belongs to no attempt in progress, for logs; empty for nothing
 	ignoredHint   string        // what a header said that is ignored because it is invalid, for logs; empty for none
 }
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -266,13 +266,14 @@
 func describe(req *reqs.Row, attempt *tries.Row) string {
 	result := attempt.Result()
 	text := " " + attempt.Service() + "@" + attempt.Server() + "=" + result.Status().String() + "/" + attempt.Elapsed().Round(time.Millisecond).String()
-	if len(req.Route().Shards()) > 0 || result.Stamp() == "" {
+	reply, ok := result.Reply().(lagoon.StampedReply)
+	if !ok || len(req.Route().Shards()) > 0 {
 		return text
 	}
 	if result.ConnOpened() {
-		return text + "/new connection/stamp " + result.Stamp()
+		return text + "/new connection/stamp " + reply.Stamp()
 	}
-	return text + "/reused connection/stamp " + result.Stamp()
+	return text + "/reused connection/stamp " + reply.Stamp()
 }
 
 // recordRefusal records the result of an attempt in the retry budget of its service.
