Check the latest view and the clock right before an attempt is written

Cause: a server got a request 5,252 ms after it reported that it leaves (bound 5,000 ms). The node knew of it after 59 ms, but its process then got no CPU time in the middle of a tick, and the end of a server's use was compared with the time at the tick's beginning. Change: the transport asks lagoon.Permission after the connection is open. An attempt is withheld if the server is not in the latest view, its last use has passed, or control has not run for 1 s. Load reports with a fourth figure, how long work takes now, are read; they were ignored as a whole. Result: TestMaySend, TestWithheldAttemptSendsNothing and TestReportedLoad pass; tests of internal/direct and platform/sender pass. Not measured on a deployment yet.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -340,6 +340,12 @@
 // SetPayload sets the request as decoded by the front end.
 func (v *Attempt) SetPayload(x any) { v.payload = x }
 
+// SendBefore returns the time before which the attempt must be sent, on the node's clock; 0 for no such time.
+func (v Attempt) SendBefore() time.Duration { return v.sendBefore }
+
+// SetSendBefore sets the time before which the attempt must be sent, on the node's clock; 0 for no such time.
+func (v *Attempt) SetSendBefore(x time.Duration) { v.sendBefore = x }
+
 // Status returns the status of the attempt.
 func (v AttemptResult) Status() Status { return v.status }
 
@@ -382,6 +388,12 @@
 // SetSlots sets the number of slots of the server, as reported by it; 0 without a report.
 func (v *AttemptResult) SetSlots(x int) { v.slots = x }
 
+// Slowdown returns how long work takes on the server now, relative to its usual time; 0 if the server does not say so.
+func (v AttemptResult) Slowdown() float64 { return v.slowdown }
+
+// SetSlowdown sets how long work takes on the server now, relative to its usual time; 0 if the server does not say so.
+func (v *AttemptResult) SetSlowdown(x float64) { v.slowdown = x }
+
 // Detail returns the cause of a failure, for logs.
 func (v AttemptResult) Detail() string { return v.detail }
 
@@ -430,6 +442,12 @@
 // SetIgnoredHint sets what a header said that is ignored because it is invalid, for logs; empty for none.
 func (v *AttemptResult) SetIgnoredHint(x string) { v.ignoredHint = x }
 
+// Withheld returns whether the node itself withheld the attempt right before the send, for StatusNotSent.
+func (v AttemptResult) Withheld() bool { return v.withheld }
+
+// SetWithheld sets whether the node itself withheld the attempt right before the send, for StatusNotSent.
+func (v *AttemptResult) SetWithheld(x bool) { v.withheld = x }
+
 // Outcome returns the outcome of the request.
 func (v Response) Outcome() RequestOutcome { return v.outcome }
 
--- a/direct.go
+++ b/direct.go
@@ -95,6 +95,7 @@
 	recentConnOnly bool          // whether only a connection used a short time ago may be reused
 	closeConn      bool          // whether to close the connection afterwards, because this node has no share of the server's connections
 	payload        any           // the request as decoded by the front end
+	sendBefore     time.Duration // the time before which the attempt must be sent, on the node's clock; 0 for no such time
 }
 
 // AttemptResult is the result of an Attempt.
@@ -106,6 +107,7 @@
 	running       int           // the number of requests running on the server, as reported by it
 	queued        int           // the number of requests queued on the server, as reported by it
 	slots         int           // the number of slots of the server, as reported by it; 0 without a report
+	slowdown      float64       // how long work takes on the server now, relative to its usual time; 0 if the server does not say so
 	detail        string        // the cause of a failure, for logs
 	connOpened    bool          // whether the attempt opened a connection
 	connectTime   time.Duration // the time that opening the connection took
@@ -114,6 +116,7 @@
 	pause         time.Duration // how long the server wants no requests from this node; 0 if it did not say so
 	unsolicited   string        // what the server sent that belongs to no attempt in progress, for logs; empty for nothing
 	ignoredHint   string        // what a header said that is ignored because it is invalid, for logs; empty for none
+	withheld      bool          // whether the node itself withheld the attempt right before the send, for StatusNotSent
 }
 
 // Response is the result of routing a Request.
--- a/interfaces.go
+++ b/interfaces.go
@@ -141,6 +141,12 @@
 	Do(ctx context.Context, a Attempt) AttemptResult
 }
 
+// Permission decides right before the bytes of an attempt are written whether it may still be
+// sent. MaySend returns an error that tells why not. It is called on any goroutine.
+type Permission interface {
+	MaySend(a Attempt) error
+}
+
 // StampedReply is a server's response with a stamp that the server gave to it alone. Stamp
 // returns an empty string if the response does not have exactly one.
 type StampedReply interface {
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl"
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
+	"github.com/lagoontrail/lagoon/internal/direct/permit"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
@@ -65,6 +66,7 @@
 	trafficMailbox *mbox.Mailbox
 	running        atomic.Int64
 	requests       atomic.Int64
+	controlTick    atomic.Int64
 }
 
 // New returns a node whose dependencies are to be set before Serve is called. The
@@ -85,6 +87,11 @@
 // PublishedView returns the pointer through which the node publishes its views.
 func (n *Node) PublishedView() *atomic.Pointer[view.View] { return &n.publishedView }
 
+// Permission returns what the transport asks right before it sends an attempt.
+func (n *Node) Permission() lagoon.Permission {
+	return permit.New(n.clock, &n.publishedView, &n.controlTick)
+}
+
 // Running returns the number of requests in progress.
 func (n *Node) Running() int64 { return n.running.Load() }
 
@@ -131,6 +138,7 @@
 	n.control.SetLink(n.link)
 	n.control.SetJournal(n.journal)
 	n.control.SetPublishedView(&n.publishedView)
+	n.control.SetTickedAt(&n.controlTick)
 	n.control.SetRegistryReachable(true)
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -205,6 +205,12 @@
 // SetStopAt sets when the requests in progress end because the node is stopping; 0 if it is not.
 func (v *State) SetStopAt(x time.Duration) { v.stopAt = x }
 
+// TickedAt returns when the last tick began, in nanoseconds of the clock; nil if nobody asks.
+func (v *State) TickedAt() *atomic.Int64 { return v.tickedAt }
+
+// SetTickedAt sets when the last tick began, in nanoseconds of the clock; nil if nobody asks.
+func (v *State) SetTickedAt(x *atomic.Int64) { v.tickedAt = x }
+
 // ViewStale returns whether the published view is out of date.
 func (v *State) ViewStale() bool { return v.viewStale }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -70,6 +70,7 @@
 	stopping          bool                                                                                    // whether the node is stopping
 	refuseAt          time.Duration                                                                           // from when new requests are refused because the node is stopping; 0 if it is not
 	stopAt            time.Duration                                                                           // when the requests in progress end because the node is stopping; 0 if it is not
+	tickedAt          *atomic.Int64                                                                           // when the last tick began, in nanoseconds of the clock; nil if nobody asks
 	viewStale         bool                                                                                    // whether the published view is out of date
 	heartbeatsSentAt  time.Duration                                                                           // when heartbeats were last sent
 	results           []fetch.Result                                                                          // the results of registry calls received in this tick
@@ -162,6 +163,9 @@
 	for _, system := range s.systems {
 		system.Run(s, now)
 	}
+	if s.tickedAt != nil {
+		s.tickedAt.Store(int64(now))
+	}
 	s.results, s.pushes, s.updates, s.heartbeats = nil, nil, nil, nil
 }
 
--- a/internal/direct/trfc/leave/leave.go
+++ b/internal/direct/trfc/leave/leave.go
@@ -88,6 +88,16 @@
 	l.Leaves().RemoveKey(oldest)
 }
 
+// LastUse returns the time from which a server that said that it is leaving gets no more
+// requests, or 0 for any other server.
+func LastUse(l *loop.Loop, r *lagoon.Replica, now time.Duration) time.Duration {
+	if leaving, _ := State(l, r, now); !leaving {
+		return 0
+	}
+	row, _ := l.Leaves().Find(r.ID())
+	return row.LastUse()
+}
+
 // State reports whether a server said that it is leaving, and whether it may still get
 // requests as a last resort.
 func State(l *loop.Loop, r *lagoon.Replica, now time.Duration) (leaving, usable bool) {
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -143,6 +143,9 @@
 		h.SetFailureRate(h.FailureRate() + failureWeight*(1-h.FailureRate()))
 		h.SetSampledAt(now)
 	case lagoon.StatusNotSent:
+		if result.Withheld() {
+			break // says nothing about the server
+		}
 		h.SetConnectFailed(true)
 		recordFailure(l, attempt, h, now, connectFailureLimit)
 	case lagoon.StatusUnknown, lagoon.StatusFailed:
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -28,6 +28,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/choose"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
@@ -289,6 +290,7 @@
 	a.SetTimeout(req.Deadline() - now)
 	a.SetRecentConnOnly(!req.Route().Idempotent())
 	a.SetCloseConn(choose.ConnectionShare(l, r.Service()) < 1)
+	a.SetSendBefore(leave.LastUse(l, &r, now))
 	a.SetPayload(request.Payload())
 	l.StartAttempt(id, attempt, a)
 }
