Give each request a rank of its own

Cause: an organisation's priority is to override the route's, and requests are ordered by the route's priority alone. Change: requests carry a rank, which is the route's priority so far, and the caller's organisation.

--- a/internal/direct/reqs/accessors_gen.go
+++ b/internal/direct/reqs/accessors_gen.go
@@ -89,3 +89,15 @@
 
 // SetTrace sets the attempts so far, for the journal.
 func (v *Row) SetTrace(x []byte) { v.trace = x }
+
+// Organisation returns the organisation of the caller; empty if the catalog declares none or the route is public.
+func (v *Row) Organisation() string { return v.organisation }
+
+// SetOrganisation sets the organisation of the caller; empty if the catalog declares none or the route is public.
+func (v *Row) SetOrganisation(x string) { v.organisation = x }
+
+// Rank returns the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest.
+func (v *Row) Rank() int { return v.rank }
+
+// SetRank sets the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest.
+func (v *Row) SetRank(x int) { v.rank = x }
--- a/internal/direct/reqs/reqs.go
+++ b/internal/direct/reqs/reqs.go
@@ -33,4 +33,6 @@
 	decided       bool                   // whether the response has been decided
 	response      lagoon.Response        // the response, once it is decided
 	trace         []byte                 // the attempts so far, for the journal
+	organisation  string                 // the organisation of the caller; empty if the catalog declares none or the route is public
+	rank          int                    // the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest
 }
--- a/internal/direct/trfc/admit/admit.go
+++ b/internal/direct/trfc/admit/admit.go
@@ -121,6 +121,7 @@
 		return
 	}
 	req.SetRoute(route)
+	req.SetRank(route.Priority())
 	timeout := route.Timeout()
 	if request.Timeout() > 0 && (timeout == 0 || request.Timeout() < timeout) {
 		timeout = request.Timeout()
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -148,8 +148,8 @@
 	l.MarkChanged(shard.Request())
 }
 
-// compare orders requests that can meet their objective first, then by the
-// route's priority, then by age.
+// compare orders requests that can meet their objective first, then by their rank, then
+// by age.
 func compare(l *loop.Loop, a, b lagoon.RowID, now time.Duration) int {
 	shardA, okShardA := l.Shards().Resolve(a)
 	shardB, okShardB := l.Shards().Resolve(b)
@@ -167,7 +167,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(reqA.Route().Priority(), reqB.Route().Priority()), cmp.Compare(shardA.QueuedAt(), shardB.QueuedAt()))
+	return cmp.Or(cmp.Compare(reqA.Rank(), reqB.Rank()), cmp.Compare(shardA.QueuedAt(), shardB.QueuedAt()))
 }
 
 // missesObjective reports whether an attempt that starts now is likely to miss the
