Admit callers by the keys of organisations

Cause: the catalog may declare organisations whose callers send a key, and servers must learn the organisation but never the key.

Change: the catalog has organisations, routes may be public. Admission answers 401 to a request without a key that an organisation holds, and 503 where a newer catalog may allow it. The priority of the organisation becomes the request's rank. Attempts carry the organisation, and the sender removes the key in any spelling and sets the organisation's name. The view has an absolute time until which its catalog may be used for keys, and admission also checks when control ran last, so that a removed key is not accepted by a process that was paused. Nodes of the earlier release push catalogs without organisations; such a push is not applied, and the node reads the registry instead (messages have protocol version 4 for that). Invalid entries are ignored one by one and logged when the catalog is adopted.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -88,6 +88,12 @@
 // SetMinCoverage sets the minimum fraction of shards in a gathered response, 0 to 1.
 func (v *Route) SetMinCoverage(x float64) { v.minCoverage = x }
 
+// Public returns whether requests need no key and are not attributed to an organisation.
+func (v Route) Public() bool { return v.public }
+
+// SetPublic sets whether requests need no key and are not attributed to an organisation.
+func (v *Route) SetPublic(x bool) { v.public = x }
+
 // Name returns the service name.
 func (v Pool) Name() string { return v.name }
 
@@ -130,6 +136,42 @@
 // SetIdleTimeout sets the timeout of an idle connection.
 func (v *Limits) SetIdleTimeout(x time.Duration) { v.idleTimeout = x }
 
+// Name returns the organisation name.
+func (v Organisation) Name() string { return v.name }
+
+// SetName sets the organisation name.
+func (v *Organisation) SetName(x string) { v.name = x }
+
+// Keys returns the keys of its callers, which are never logged.
+func (v Organisation) Keys() []string { return v.keys }
+
+// SetKeys sets the keys of its callers, which are never logged.
+func (v *Organisation) SetKeys(x []string) { v.keys = x }
+
+// Priority returns the priority of its requests, instead of the route's; 0 is the highest.
+func (v Organisation) Priority() int { return v.priority }
+
+// SetPriority sets the priority of its requests, instead of the route's; 0 is the highest.
+func (v *Organisation) SetPriority(x int) { v.priority = x }
+
+// HasPriority returns whether the priority is declared.
+func (v Organisation) HasPriority() bool { return v.hasPriority }
+
+// SetHasPriority sets whether the priority is declared.
+func (v *Organisation) SetHasPriority(x bool) { v.hasPriority = x }
+
+// RatePerSecond returns the quota over all nodes, in requests per second; 0 means unlimited.
+func (v Organisation) RatePerSecond() float64 { return v.ratePerSecond }
+
+// SetRatePerSecond sets the quota over all nodes, in requests per second; 0 means unlimited.
+func (v *Organisation) SetRatePerSecond(x float64) { v.ratePerSecond = x }
+
+// Burst returns the number of requests beyond the rate that may be sent at once.
+func (v Organisation) Burst() float64 { return v.burst }
+
+// SetBurst sets the number of requests beyond the rate that may be sent at once.
+func (v *Organisation) SetBurst(x float64) { v.burst = x }
+
 // Version returns the operators' version.
 func (v Catalog) Version() uint64 { return v.version }
 
@@ -160,6 +202,24 @@
 // SetLimits sets the limits on callers.
 func (v *Catalog) SetLimits(x Limits) { v.limits = x }
 
+// Organisations returns the organisations, each with a distinct name.
+func (v Catalog) Organisations() []Organisation { return v.organisations }
+
+// SetOrganisations sets the organisations, each with a distinct name.
+func (v *Catalog) SetOrganisations(x []Organisation) { v.organisations = x }
+
+// Identified returns whether requests are identified by keys; true also if no declared organisation is valid.
+func (v Catalog) Identified() bool { return v.identified }
+
+// SetIdentified sets whether requests are identified by keys; true also if no declared organisation is valid.
+func (v *Catalog) SetIdentified(x bool) { v.identified = x }
+
+// Warnings returns what is invalid in the declaration and therefore ignored, for logs.
+func (v Catalog) Warnings() []string { return v.warnings }
+
+// SetWarnings sets what is invalid in the declaration and therefore ignored, for logs.
+func (v *Catalog) SetWarnings(x []string) { v.warnings = x }
+
 // ID returns the server ID.
 func (v Replica) ID() string { return v.id }
 
@@ -304,6 +364,12 @@
 // SetBodySize sets the size of the body, in bytes.
 func (v *Request) SetBodySize(x int) { v.bodySize = x }
 
+// Key returns the key that the caller sent; empty if it sent none or more than one.
+func (v Request) Key() string { return v.key }
+
+// SetKey sets the key that the caller sent; empty if it sent none or more than one.
+func (v *Request) SetKey(x string) { v.key = x }
+
 // ID returns the request ID.
 func (v Attempt) ID() string { return v.id }
 
@@ -346,6 +412,18 @@
 // SetSendBefore sets the time before which the attempt must be sent, on the node's clock; 0 for no such time.
 func (v *Attempt) SetSendBefore(x time.Duration) { v.sendBefore = x }
 
+// Organisation returns the organisation of the caller; empty on public routes and without organisations.
+func (v Attempt) Organisation() string { return v.organisation }
+
+// SetOrganisation sets the organisation of the caller; empty on public routes and without organisations.
+func (v *Attempt) SetOrganisation(x string) { v.organisation = x }
+
+// Identified returns whether the catalog declares organisations, so that the caller's key and its statement of an organisation are not forwarded.
+func (v Attempt) Identified() bool { return v.identified }
+
+// SetIdentified sets whether the catalog declares organisations, so that the caller's key and its statement of an organisation are not forwarded.
+func (v *Attempt) SetIdentified(x bool) { v.identified = x }
+
 // Status returns the status of the attempt.
 func (v AttemptResult) Status() Status { return v.status }
 
@@ -478,10 +556,10 @@
 // SetMaxRecords sets the maximum number of records in the response, for RequestGathered.
 func (v *Response) SetMaxRecords(x int) { v.maxRecords = x }
 
-// RetryAfter returns the time after which to retry, for RequestRefused; 0 means unspecified.
+// RetryAfter returns the time after which to retry, for RequestRefused and RequestOverQuota; 0 means unspecified.
 func (v Response) RetryAfter() time.Duration { return v.retryAfter }
 
-// SetRetryAfter sets the time after which to retry, for RequestRefused; 0 means unspecified.
+// SetRetryAfter sets the time after which to retry, for RequestRefused and RequestOverQuota; 0 means unspecified.
 func (v *Response) SetRetryAfter(x time.Duration) { v.retryAfter = x }
 
 // Reason returns the cause, for logs.
@@ -850,6 +928,12 @@
 // SetUpdate sets the update.
 func (v *RegistryPush) SetUpdate(x RegistryUpdate) { v.update = x }
 
+// LacksOrganisations returns whether the sender's release does not know organisations, so that they are missing in a catalog; set by the decoder.
+func (v RegistryPush) LacksOrganisations() bool { return v.lacksOrganisations }
+
+// SetLacksOrganisations sets whether the sender's release does not know organisations, so that they are missing in a catalog; set by the decoder.
+func (v *RegistryPush) SetLacksOrganisations(x bool) { v.lacksOrganisations = x }
+
 // Config returns the configuration.
 func (v ConfigPush) Config() Config { return v.config }
 
--- a/direct.go
+++ b/direct.go
@@ -23,6 +23,7 @@
 	shards      []string      // the services that each hold one shard, for scatter-gather requests
 	maxRecords  int           // the maximum number of records in a gathered response; json:"records"
 	minCoverage float64       // the minimum fraction of shards in a gathered response, 0 to 1
+	public      bool          // whether requests need no key and are not attributed to an organisation
 }
 
 // Pool declares the limits on requests to the servers of one service, for a
@@ -41,6 +42,16 @@
 	idleTimeout    time.Duration // the timeout of an idle connection
 }
 
+// Organisation declares a group of callers that share keys, a priority and a quota.
+type Organisation struct {
+	name          string   // the organisation name
+	keys          []string // the keys of its callers, which are never logged
+	priority      int      // the priority of its requests, instead of the route's; 0 is the highest
+	hasPriority   bool     // whether the priority is declared
+	ratePerSecond float64  // the quota over all nodes, in requests per second; 0 means unlimited
+	burst         float64  // the number of requests beyond the rate that may be sent at once
+}
+
 // Catalog is one accepted version of everything that operators declared. A
 // node never replaces its catalog by one with a lower revision.
 type Catalog struct {
@@ -49,6 +60,10 @@
 	routes   []Route // the routes
 	pools    []Pool  // the services
 	limits   Limits  // the limits on callers
+
+	organisations []Organisation // the organisations, each with a distinct name
+	identified    bool           // whether requests are identified by keys; true also if no declared organisation is valid
+	warnings      []string       // what is invalid in the declaration and therefore ignored, for logs
 }
 
 // Replica is one run of one server, as announced by the server.
@@ -85,6 +100,7 @@
 	timeout  time.Duration // how long the caller waits; 0 means the route's timeout
 	payload  any           // the request as decoded by the front end; opaque to routing
 	bodySize int           // the size of the body, in bytes
+	key      string        // the key that the caller sent; empty if it sent none or more than one
 }
 
 // Attempt is one transmission of a request to one replica.
@@ -96,6 +112,8 @@
 	closeConn      bool          // whether to close the connection afterwards, because this node has no share of the server's connections
 	payload        any           // the request as decoded by the front end
 	sendBefore     time.Duration // the time before which the attempt must be sent, on the node's clock; 0 for no such time
+	organisation   string        // the organisation of the caller; empty on public routes and without organisations
+	identified     bool          // whether the catalog declares organisations, so that the caller's key and its statement of an organisation are not forwarded
 }
 
 // AttemptResult is the result of an Attempt.
@@ -126,7 +144,7 @@
 	parts         []any          // the responses of the covered shards, for RequestGathered
 	missingShards int            // the number of shards not covered, for RequestGathered
 	maxRecords    int            // the maximum number of records in the response, for RequestGathered
-	retryAfter    time.Duration  // the time after which to retry, for RequestRefused; 0 means unspecified
+	retryAfter    time.Duration  // the time after which to retry, for RequestRefused and RequestOverQuota; 0 means unspecified
 	reason        string         // the cause, for logs
 }
 
--- a/enums.go
+++ b/enums.go
@@ -112,20 +112,22 @@
 // The outcomes of a routed request. RequestRefused guarantees that the request
 // did not run and will not run.
 const (
-	RequestLost     RequestOutcome = iota // the request may have run; its response is lost
-	RequestServed                         // one server responded
-	RequestFailed                         // one server ran the request and returned a failure
-	RequestGathered                       // enough shards responded
-	RequestRefused                        // the request did not run
-	RequestExpired                        // the deadline passed
-	RequestNoRoute                        // no route matches
-	RequestTooLarge                       // the body exceeds the declared limit
-	RequestCanceled                       // the caller disconnected
+	RequestLost         RequestOutcome = iota // the request may have run; its response is lost
+	RequestServed                             // one server responded
+	RequestFailed                             // one server ran the request and returned a failure
+	RequestGathered                           // enough shards responded
+	RequestRefused                            // the request did not run
+	RequestExpired                            // the deadline passed
+	RequestNoRoute                            // no route matches
+	RequestTooLarge                           // the body exceeds the declared limit
+	RequestCanceled                           // the caller disconnected
+	RequestUnauthorized                       // the request has no key, or one that no organisation holds; it did not run
+	RequestOverQuota                          // the organisation's quota is used up; the request did not run and will not run
 )
 
 // String returns the outcome in snake case; RequestCanceled is "gone".
 func (o RequestOutcome) String() string {
-	names := [...]string{"lost", "served", "failed", "gathered", "refused", "expired", "no_route", "too_large", "gone"}
+	names := [...]string{"lost", "served", "failed", "gathered", "refused", "expired", "no_route", "too_large", "gone", "unauthorized", "over_quota"}
 	if int(o) >= len(names) {
 		return "invalid"
 	}
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -146,6 +146,10 @@
 	switch {
 	case update.Revision() <= row.Revision() && row.Synced():
 		return
+	case update.Topic() == lagoon.TopicCatalog && m.LacksOrganisations():
+		row.SetGap(true) // without its organisations the catalog would let every caller in
+		row.SetGapRevision(max(row.GapRevision(), update.Revision()))
+		return
 	case !update.Full() && (!row.Synced() || update.Previous() > row.Revision()):
 		row.SetGap(true)
 		row.SetGapRevision(max(row.GapRevision(), update.Revision()))
@@ -196,6 +200,9 @@
 	s.SetCatalogKnown(true)
 	s.SetViewStale(true)
 	s.Record("catalog_adopted", fmt.Sprint("version ", catalog.Version()), fmt.Sprintf("revision %d with %d routes and %d services", catalog.Revision(), len(catalog.Routes()), len(catalog.Pools())))
+	if len(catalog.Warnings()) > 0 {
+		s.Record("catalog_invalid", fmt.Sprint("version ", catalog.Version()), strings.Join(catalog.Warnings(), "; "))
+	}
 }
 
 // applyReplicas applies an update of the announced servers.
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/orgs"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 )
@@ -31,7 +32,9 @@
 		s.SetRosterKnown(true)
 		s.SetViewStale(true)
 	}
+	catalog := currency(s)
 	if !s.ViewStale() {
+		renew(s, catalog)
 		return
 	}
 	s.SetViewStale(false)
@@ -44,6 +47,8 @@
 	v.SetStopping(s.Stopping())
 	v.SetRefuseAt(s.RefuseAt())
 	v.SetStopAt(s.StopAt())
+	v.SetCatalogOutdated(catalog.outdated)
+	v.SetCatalogValidUntil(catalog.validUntil)
 	setCatalog(s, v)
 	setServers(s, v, now)
 	setMembers(s, v)
@@ -67,6 +72,8 @@
 	if old := s.PublishedView().Load(); old != nil && old.Catalog().Revision() == s.Catalog().Revision() && old.Routes() != nil {
 		v.SetRoutes(old.Routes())
 		v.SetPools(old.Pools())
+		v.SetOrganisations(old.Organisations())
+		v.SetIdentified(old.Identified())
 		return
 	}
 	catalog := s.Catalog()
@@ -85,6 +92,10 @@
 	}
 	v.SetRoutes(routes)
 	v.SetPools(pools)
+	if organisations := catalog.Organisations(); len(organisations) > 0 {
+		v.SetOrganisations(orgs.New(organisations))
+	}
+	v.SetIdentified(catalog.Identified() || len(catalog.Organisations()) > 0)
 }
 
 // setServers sets the servers that may get requests. A server whose announcement
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -106,6 +106,12 @@
 // SetView sets the view in force in this tick.
 func (v *Loop) SetView(x *view.View) { v.view = x }
 
+// ControlTick returns when the last tick of control began, in nanoseconds of the clock; nil if it is not known.
+func (v *Loop) ControlTick() *atomic.Int64 { return v.controlTick }
+
+// SetControlTick sets when the last tick of control began, in nanoseconds of the clock; nil if it is not known.
+func (v *Loop) SetControlTick(x *atomic.Int64) { v.controlTick = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -60,6 +60,7 @@
 	drainTime     time.Duration                                              // for which a server serves after it said that it leaves; 0 means the default
 	extraWindow   time.Duration                                              // the length of the window that ExtraSlack applies to
 	view          *view.View                                                 // the view in force in this tick
+	controlTick   *atomic.Int64                                              // when the last tick of control began, in nanoseconds of the clock; nil if it is not known
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -82,3 +82,9 @@
 
 // SetExtraWindow sets the length of the window that ExtraSlack applies to.
 func (v *Node) SetExtraWindow(x time.Duration) { v.extraWindow = x }
+
+// RevokeTime returns within which a key that was removed from the catalog must be refused; 0 for no bound.
+func (v *Node) RevokeTime() time.Duration { return v.revokeTime }
+
+// SetRevokeTime sets within which a key that was removed from the catalog must be refused; 0 for no bound.
+func (v *Node) SetRevokeTime(x time.Duration) { v.revokeTime = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -58,6 +58,7 @@
 	extraRatio   float64          // the retries and hedges that all nodes together may send to a service, as a share of its requests
 	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
 	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
+	revokeTime   time.Duration    // within which a key that was removed from the catalog must be refused; 0 for no bound
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -134,6 +135,7 @@
 	n.control.SetStartedAt(n.clock.Now())
 	n.control.SetApplyTime(n.applyTime)
 	n.control.SetDrainTime(n.drainTime)
+	n.control.SetRevokeTime(n.revokeTime)
 	n.control.SetRegistry(n.registry)
 	n.control.SetLink(n.link)
 	n.control.SetJournal(n.journal)
@@ -143,6 +145,7 @@
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
 	n.traffic.SetPublishedView(&n.publishedView)
+	n.traffic.SetControlTick(&n.controlTick)
 	n.traffic.SetTransport(n.transport)
 	n.traffic.SetJournal(n.journal)
 	n.traffic.SetHedgePolicy(hedge.Policy{})
--- a/internal/direct/permit/permit.go
+++ b/internal/direct/permit/permit.go
@@ -11,7 +11,7 @@
 // time may stand still for seconds in between, or in the middle of the tick. So the latest view
 // and the clock are read once more: a server that has left, or whose availability zone was taken
 // out, gets nothing, and neither does any server while control has not run for
-// maxControlSilence, because the news may be waiting for it.
+// MaxControlSilence, because the news may be waiting for it.
 package permit
 
 import (
@@ -24,9 +24,9 @@
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 )
 
-// maxControlSilence is the time since the last tick of control after which its view vouches for
+// MaxControlSilence is the time since the last tick of control after which its view vouches for
 // nothing. Control ticks at least every 100 ms, and a server that leaves serves for 3 s.
-const maxControlSilence = time.Second
+const MaxControlSilence = time.Second
 
 // Permit implements lagoon.Permission. Create it with New.
 type Permit struct {
@@ -44,7 +44,7 @@
 // MaySend returns an error that tells why an attempt must not be sent any more, or nil.
 func (p *Permit) MaySend(a lagoon.Attempt) error {
 	now, v, replica := p.clock.Now(), p.publishedView.Load(), a.Replica()
-	if silence := now - time.Duration(p.controlTick.Load()); silence > maxControlSilence {
+	if silence := now - time.Duration(p.controlTick.Load()); silence > MaxControlSilence {
 		return errors.Errorf("control has not run for %s", silence.Round(time.Millisecond))
 	}
 	if a.SendBefore() > 0 && now >= a.SendBefore() {
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -175,6 +175,12 @@
 // SetDrainTime sets for which a server serves after the registry accepted that it leaves; 0 means the default.
 func (v *State) SetDrainTime(x time.Duration) { v.drainTime = x }
 
+// RevokeTime returns within which a key that was removed from the catalog must be refused; 0 for no bound.
+func (v *State) RevokeTime() time.Duration { return v.revokeTime }
+
+// SetRevokeTime sets within which a key that was removed from the catalog must be refused; 0 for no bound.
+func (v *State) SetRevokeTime(x time.Duration) { v.revokeTime = x }
+
 // ApplyTime returns within which a change accepted by the registry must be in force; 0 means the default.
 func (v *State) ApplyTime() time.Duration { return v.applyTime }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -65,6 +65,7 @@
 	lastCallFailedAt  time.Duration                                                                           // when one of this node's registry calls last failed
 	announceWait      time.Duration                                                                           // how long after its start the node waits for other nodes' announcements
 	drainTime         time.Duration                                                                           // for which a server serves after the registry accepted that it leaves; 0 means the default
+	revokeTime        time.Duration                                                                           // within which a key that was removed from the catalog must be refused; 0 for no bound
 	applyTime         time.Duration                                                                           // within which a change accepted by the registry must be in force; 0 means the default
 	zonesOut          map[string]bool                                                                         // the availability zones taken out of service
 	stopping          bool                                                                                    // whether the node is stopping
--- a/internal/direct/trfc/admit/admit.go
+++ b/internal/direct/trfc/admit/admit.go
@@ -114,6 +114,9 @@
 		finish(l, id, req, lagoon.RequestNoRoute, "no route is declared for the host and path")
 		return
 	}
+	if !identify(l, id, req, route, now) {
+		return
+	}
 	catalog := view.Catalog()
 	limits := catalog.Limits()
 	if maxBytes := limits.MaxBodyBytes(); maxBytes > 0 && request.BodySize() > maxBytes {
@@ -121,7 +124,6 @@
 		return
 	}
 	req.SetRoute(route)
-	req.SetRank(route.Priority())
 	timeout := route.Timeout()
 	if request.Timeout() > 0 && (timeout == 0 || request.Timeout() < timeout) {
 		timeout = request.Timeout()
--- a/internal/direct/trfc/reply/reply.go
+++ b/internal/direct/trfc/reply/reply.go
@@ -13,6 +13,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,7 +89,15 @@
 		name = req.Route().Name()
 	}
 	l.Record("request_"+response.Outcome().String(), name, request.ID(), fmt.Sprintf("%s;%s took %s, caller started %s earlier, catalog version %d, registry reachable %t; attempts:%s",
-		response.Reason(), describeMissing(l, req, now), (now-req.ArrivedAt()).Round(time.Millisecond), callerElapsed(req), catalog.Version(), req.View().RegistryReachable(), req.Trace()))
+		response.Reason()+describeOrganisation(req), describeMissing(l, req, now), (now-req.ArrivedAt()).Round(time.Millisecond), callerElapsed(req), catalog.Version(), req.View().RegistryReachable(), req.Trace()))
+}
+
+// describeOrganisation names the organisation of a request, if it has one.
+func describeOrganisation(req *reqs.Row) string {
+	if req.Organisation() == "" {
+		return ""
+	}
+	return "; organisation " + strconv.Quote(req.Organisation())
 }
 
 // callerElapsed returns how long the caller had waited when its request arrived.
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -292,5 +292,7 @@
 	a.SetCloseConn(choose.ConnectionShare(l, r.Service()) < 1)
 	a.SetSendBefore(leave.LastUse(l, &r, now))
 	a.SetPayload(request.Payload())
+	a.SetOrganisation(req.Organisation())
+	a.SetIdentified(req.View().Identified() || l.View().Identified()) // a key is not forwarded once the node knows that it is one
 	l.StartAttempt(id, attempt, a)
 }
--- a/internal/direct/view/accessors_gen.go
+++ b/internal/direct/view/accessors_gen.go
@@ -4,6 +4,7 @@
 
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/internal/direct/orgs"
 
 // Self returns this node.
 func (v *View) Self() lagoon.Member { return v.self }
@@ -100,3 +101,27 @@
 
 // SetStopAt sets when the node ends the requests in progress because it is stopping; 0 if it is not.
 func (v *View) SetStopAt(x time.Duration) { v.stopAt = x }
+
+// Identified returns whether requests on routes that are not public need the key of an organisation.
+func (v *View) Identified() bool { return v.identified }
+
+// SetIdentified sets whether requests on routes that are not public need the key of an organisation.
+func (v *View) SetIdentified(x bool) { v.identified = x }
+
+// Organisations returns the organisations; nil without any.
+func (v *View) Organisations() *orgs.Index { return v.organisations }
+
+// SetOrganisations sets the organisations; nil without any.
+func (v *View) SetOrganisations(x *orgs.Index) { v.organisations = x }
+
+// CatalogOutdated returns whether a newer catalog is known to exist.
+func (v *View) CatalogOutdated() bool { return v.catalogOutdated }
+
+// SetCatalogOutdated sets whether a newer catalog is known to exist.
+func (v *View) SetCatalogOutdated(x bool) { v.catalogOutdated = x }
+
+// CatalogValidUntil returns when the catalog was last confirmed, and the time within which a change must be in force; 0 if a catalog of any age may be used.
+func (v *View) CatalogValidUntil() time.Duration { return v.catalogValidUntil }
+
+// SetCatalogValidUntil sets when the catalog was last confirmed, and the time within which a change must be in force; 0 if a catalog of any age may be used.
+func (v *View) SetCatalogValidUntil(x time.Duration) { v.catalogValidUntil = x }
--- a/internal/direct/view/view.go
+++ b/internal/direct/view/view.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/orgs"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -39,6 +40,10 @@
 	stopping          bool                        // whether this node is stopping
 	refuseAt          time.Duration               // from when the node refuses all new requests because it is stopping; 0 if it is not
 	stopAt            time.Duration               // when the node ends the requests in progress because it is stopping; 0 if it is not
+	identified        bool                        // whether requests on routes that are not public need the key of an organisation
+	organisations     *orgs.Index                 // the organisations; nil without any
+	catalogOutdated   bool                        // whether a newer catalog is known to exist
+	catalogValidUntil time.Duration               // when the catalog was last confirmed, and the time within which a change must be in force; 0 if a catalog of any age may be used
 }
 
 // FindRoute returns the route of a host with the longest matching path prefix.
@@ -51,6 +56,9 @@
 	return nil, false
 }
 
+// FindOrganisation returns the organisation that holds a key, or nil.
+func (v *View) FindOrganisation(key string) *lagoon.Organisation { return v.organisations.Find(key) }
+
 // ServersOf returns the usable servers of a service.
 func (v *View) ServersOf(service string) []lagoon.Replica { return v.serversByService[service] }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -39,6 +39,7 @@
 	Shards      []string      `cbor:"10,keyasint,omitempty" json:"shards,omitempty"`
 	MaxRecords  int           `cbor:"11,keyasint,omitempty" json:"records,omitempty"`
 	MinCoverage float64       `cbor:"12,keyasint,omitempty" json:"min_coverage,omitempty"`
+	Public      bool          `cbor:"13,keyasint,omitempty" json:"public,omitempty"`
 }
 
 func toRoute(v lagoon.Route) routeForm {
@@ -55,6 +56,7 @@
 		Shards:      v.Shards(),
 		MaxRecords:  v.MaxRecords(),
 		MinCoverage: v.MinCoverage(),
+		Public:      v.Public(),
 	}
 }
 
@@ -72,6 +74,7 @@
 	v.SetShards(m.Shards)
 	v.SetMaxRecords(m.MaxRecords)
 	v.SetMinCoverage(m.MinCoverage)
+	v.SetPublic(m.Public)
 	return v
 }
 
@@ -124,22 +127,60 @@
 	return v
 }
 
+// organisationForm is the wire form of lagoon.Organisation.
+type organisationForm struct {
+	Name          string   `cbor:"1,keyasint,omitempty" json:"name,omitempty"`
+	Keys          []string `cbor:"2,keyasint,omitempty" json:"keys,omitempty"`
+	Priority      int      `cbor:"3,keyasint,omitempty" json:"priority,omitempty"`
+	HasPriority   bool     `cbor:"4,keyasint,omitempty" json:"has_priority,omitempty"`
+	RatePerSecond float64  `cbor:"5,keyasint,omitempty" json:"rate_per_second,omitempty"`
+	Burst         float64  `cbor:"6,keyasint,omitempty" json:"burst,omitempty"`
+}
+
+func toOrganisation(v lagoon.Organisation) organisationForm {
+	return organisationForm{
+		Name:          v.Name(),
+		Keys:          v.Keys(),
+		Priority:      v.Priority(),
+		HasPriority:   v.HasPriority(),
+		RatePerSecond: v.RatePerSecond(),
+		Burst:         v.Burst(),
+	}
+}
+
+func fromOrganisation(m organisationForm) lagoon.Organisation {
+	var v lagoon.Organisation
+	v.SetName(m.Name)
+	v.SetKeys(m.Keys)
+	v.SetPriority(m.Priority)
+	v.SetHasPriority(m.HasPriority)
+	v.SetRatePerSecond(m.RatePerSecond)
+	v.SetBurst(m.Burst)
+	return v
+}
+
 // catalogForm is the wire form of lagoon.Catalog.
 type catalogForm struct {
-	Version  uint64      `cbor:"1,keyasint,omitempty" json:"version,omitempty"`
-	Revision uint64      `cbor:"2,keyasint,omitempty" json:"revision,omitempty"`
-	Routes   []routeForm `cbor:"3,keyasint,omitempty" json:"routes,omitempty"`
-	Pools    []poolForm  `cbor:"4,keyasint,omitempty" json:"pools,omitempty"`
-	Limits   limitsForm  `cbor:"5,keyasint,omitempty" json:"limits,omitempty"`
+	Version       uint64             `cbor:"1,keyasint,omitempty" json:"version,omitempty"`
+	Revision      uint64             `cbor:"2,keyasint,omitempty" json:"revision,omitempty"`
+	Routes        []routeForm        `cbor:"3,keyasint,omitempty" json:"routes,omitempty"`
+	Pools         []poolForm         `cbor:"4,keyasint,omitempty" json:"pools,omitempty"`
+	Limits        limitsForm         `cbor:"5,keyasint,omitempty" json:"limits,omitempty"`
+	Organisations []organisationForm `cbor:"6,keyasint,omitempty" json:"organisations,omitempty"`
+	Identified    bool               `cbor:"7,keyasint,omitempty" json:"identified,omitempty"`
+	Warnings      []string           `cbor:"8,keyasint,omitempty" json:"warnings,omitempty"`
 }
 
 func toCatalog(v lagoon.Catalog) catalogForm {
 	return catalogForm{
-		Version:  v.Version(),
-		Revision: v.Revision(),
-		Routes:   each(v.Routes(), toRoute),
-		Pools:    each(v.Pools(), toPool),
-		Limits:   toLimits(v.Limits()),
+		Version:       v.Version(),
+		Revision:      v.Revision(),
+		Routes:        each(v.Routes(), toRoute),
+		Pools:         each(v.Pools(), toPool),
+		Limits:        toLimits(v.Limits()),
+		Organisations: each(v.Organisations(), toOrganisation),
+		Identified:    v.Identified(),
+		Warnings:      v.Warnings(),
 	}
 }
 
@@ -150,6 +191,9 @@
 	v.SetRoutes(each(m.Routes, fromRoute))
 	v.SetPools(each(m.Pools, fromPool))
 	v.SetLimits(fromLimits(m.Limits))
+	v.SetOrganisations(each(m.Organisations, fromOrganisation))
+	v.SetIdentified(m.Identified)
+	v.SetWarnings(m.Warnings)
 	return v
 }
 
@@ -495,14 +539,16 @@
 
 // registryPushForm is the wire form of lagoon.RegistryPush.
 type registryPushForm struct {
-	From   string             `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
-	Update registryUpdateForm `cbor:"2,keyasint,omitempty" json:"news,omitempty"`
+	From               string             `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	Update             registryUpdateForm `cbor:"2,keyasint,omitempty" json:"news,omitempty"`
+	LacksOrganisations bool               `cbor:"3,keyasint,omitempty" json:"lacks_organisations,omitempty"`
 }
 
 func toRegistryPush(v lagoon.RegistryPush) registryPushForm {
 	return registryPushForm{
-		From:   v.From(),
-		Update: toRegistryUpdate(v.Update()),
+		From:               v.From(),
+		Update:             toRegistryUpdate(v.Update()),
+		LacksOrganisations: v.LacksOrganisations(),
 	}
 }
 
@@ -510,6 +556,7 @@
 	var v lagoon.RegistryPush
 	v.SetFrom(m.From)
 	v.SetUpdate(fromRegistryUpdate(m.Update))
+	v.SetLacksOrganisations(m.LacksOrganisations)
 	return v
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,8 +27,9 @@
 
 // Versions of encoded messages.
 const (
-	protocolVersion    = 3
-	minChecksumVersion = 3 // of messages with a checksum
+	protocolVersion         = 4
+	minChecksumVersion      = 3 // of messages with a checksum
+	minOrganisationsVersion = 4 // of catalogs with organisations
 )
 
 // maxArrayElements limits the length of arrays in messages from peers.
@@ -147,7 +148,11 @@
 	case kindClaimResponse:
 		return decodeBody(e.Body, fromClaimResponse)
 	case kindRegistryPush:
-		return decodeBody(e.Body, fromRegistryPush)
+		m, err := decodeBody(e.Body, fromRegistryPush)
+		if push, ok := m.(*lagoon.RegistryPush); ok {
+			push.SetLacksOrganisations(e.Version < minOrganisationsVersion)
+		}
+		return m, err
 	}
 	return nil, errors.Errorf("decode message: unknown kind %d in protocol version %d", e.Kind, e.Version)
 }
--- a/messages.go
+++ b/messages.go
@@ -57,6 +57,8 @@
 type RegistryPush struct {
 	from   string         // the name of the hub
 	update RegistryUpdate // the update; json:"news"
+
+	lacksOrganisations bool // whether the sender's release does not know organisations, so that they are missing in a catalog; set by the decoder
 }
 
 // ConfigPush sends a whole configuration to a node that has an older one.
