--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -694,6 +694,24 @@
 // SetJitter sets a fresh random number, 0 to 1.
 func (v *ReplicaView) SetJitter(x float64) { v.jitter = x }
 
+// Window returns the length of the window.
+func (v QuotaBounds) Window() time.Duration { return v.window }
+
+// SetWindow sets the length of the window.
+func (v *QuotaBounds) SetWindow(x time.Duration) { v.window = x }
+
+// Overage returns the share of the quota that may be exceeded.
+func (v QuotaBounds) Overage() float64 { return v.overage }
+
+// SetOverage sets the share of the quota that may be exceeded.
+func (v *QuotaBounds) SetOverage(x float64) { v.overage = x }
+
+// Slack returns the number of requests beyond that.
+func (v QuotaBounds) Slack() float64 { return v.slack }
+
+// SetSlack sets the number of requests beyond that.
+func (v *QuotaBounds) SetSlack(x float64) { v.slack = x }
+
 // Server returns the server name.
 func (v ServerStatus) Server() string { return v.server }
 
@@ -892,6 +910,12 @@
 // SetRosterAcked sets the version of the recipient's roster that the sender has.
 func (v *Heartbeat) SetRosterAcked(x uint64) { v.rosterAcked = x }
 
+// Granter returns the name of the node that grants quota tokens to the sender, itself if no hub does; empty from earlier releases.
+func (v Heartbeat) Granter() string { return v.granter }
+
+// SetGranter sets the name of the node that grants quota tokens to the sender, itself if no hub does; empty from earlier releases.
+func (v *Heartbeat) SetGranter(x string) { v.granter = x }
+
 // Topic returns the topic.
 func (v TopicState) Topic() Topic { return v.topic }
 
@@ -1228,6 +1252,90 @@
 // SetClaims sets the claims that have not expired.
 func (v *ClaimBucket) SetClaims(x []Claim) { v.claims = x }
 
+// Organisation returns the organisation name.
+func (v QuotaWant) Organisation() string { return v.organisation }
+
+// SetOrganisation sets the organisation name.
+func (v *QuotaWant) SetOrganisation(x string) { v.organisation = x }
+
+// Tokens returns the number of tokens wanted.
+func (v QuotaWant) Tokens() int { return v.tokens }
+
+// SetTokens sets the number of tokens wanted.
+func (v *QuotaWant) SetTokens(x int) { v.tokens = x }
+
+// RatePerSecond returns the organisation's quota, in requests per second.
+func (v QuotaWant) RatePerSecond() float64 { return v.ratePerSecond }
+
+// SetRatePerSecond sets the organisation's quota, in requests per second.
+func (v *QuotaWant) SetRatePerSecond(x float64) { v.ratePerSecond = x }
+
+// Burst returns the organisation's burst, in requests.
+func (v QuotaWant) Burst() float64 { return v.burst }
+
+// SetBurst sets the organisation's burst, in requests.
+func (v *QuotaWant) SetBurst(x float64) { v.burst = x }
+
+// From returns the name of the sender.
+func (v QuotaRequest) From() string { return v.from }
+
+// SetFrom sets the name of the sender.
+func (v *QuotaRequest) SetFrom(x string) { v.from = x }
+
+// Sent returns the send time on the sender's monotonic clock.
+func (v QuotaRequest) Sent() time.Duration { return v.sent }
+
+// SetSent sets the send time on the sender's monotonic clock.
+func (v *QuotaRequest) SetSent(x time.Duration) { v.sent = x }
+
+// Wants returns the tokens wanted, for each organisation that needs some.
+func (v QuotaRequest) Wants() []QuotaWant { return v.wants }
+
+// SetWants sets the tokens wanted, for each organisation that needs some.
+func (v *QuotaRequest) SetWants(x []QuotaWant) { v.wants = x }
+
+// Organisation returns the organisation name.
+func (v QuotaShare) Organisation() string { return v.organisation }
+
+// SetOrganisation sets the organisation name.
+func (v *QuotaShare) SetOrganisation(x string) { v.organisation = x }
+
+// Tokens returns the number of tokens granted.
+func (v QuotaShare) Tokens() int { return v.tokens }
+
+// SetTokens sets the number of tokens granted.
+func (v *QuotaShare) SetTokens(x int) { v.tokens = x }
+
+// RetryAfter returns if fewer tokens than wanted were granted, the time after which there should be more.
+func (v QuotaShare) RetryAfter() time.Duration { return v.retryAfter }
+
+// SetRetryAfter sets if fewer tokens than wanted were granted, the time after which there should be more.
+func (v *QuotaShare) SetRetryAfter(x time.Duration) { v.retryAfter = x }
+
+// From returns the name of the granter.
+func (v QuotaGrant) From() string { return v.from }
+
+// SetFrom sets the name of the granter.
+func (v *QuotaGrant) SetFrom(x string) { v.from = x }
+
+// Sent returns the send time of the request.
+func (v QuotaGrant) Sent() time.Duration { return v.sent }
+
+// SetSent sets the send time of the request.
+func (v *QuotaGrant) SetSent(x time.Duration) { v.sent = x }
+
+// ValidFor returns the time after which the tokens expire, counted from the send time of the request.
+func (v QuotaGrant) ValidFor() time.Duration { return v.validFor }
+
+// SetValidFor sets the time after which the tokens expire, counted from the send time of the request.
+func (v *QuotaGrant) SetValidFor(x time.Duration) { v.validFor = x }
+
+// Shares returns the tokens granted, for each organisation of the request.
+func (v QuotaGrant) Shares() []QuotaShare { return v.shares }
+
+// SetShares sets the tokens granted, for each organisation of the request.
+func (v *QuotaGrant) SetShares(x []QuotaShare) { v.shares = x }
+
 // Key returns the key.
 func (v Object) Key() string { return v.key }
 
--- a/direct.go
+++ b/direct.go
@@ -182,3 +182,11 @@
 	remaining       float64 // the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late
 	jitter          float64 // a fresh random number, 0 to 1; json:"noise"
 }
+
+// QuotaBounds bounds by how much the requests of an organisation may exceed its quota in any
+// window, summed over all nodes. Zero values mean the defaults.
+type QuotaBounds struct {
+	window  time.Duration // the length of the window
+	overage float64       // the share of the quota that may be exceeded
+	slack   float64       // the number of requests beyond that
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -73,7 +73,7 @@
 
 // Message is a message between nodes: a pointer to Heartbeat, ConfigPush,
 // PlacementPush, ShardRequestBatch, ShardResponseBatch, ShardRequestCancel,
-// ClaimRequest, ClaimResponse or RegistryPush.
+// ClaimRequest, ClaimResponse, RegistryPush, QuotaRequest or QuotaGrant.
 type Message interface{}
 
 // PeerLink sends messages to other nodes. Send queues the message. It returns
--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -104,6 +104,7 @@
 	row.SetNeedsUpdate(m.NeedsUpdate())
 	row.SetRequestRate(m.RequestRate())
 	row.SetTotalRequestRate(m.TotalRequestRate())
+	row.SetGranter(m.Granter())
 	applyRoster(row, m, now)
 	if m.Hub() {
 		applyHubState(s, m, now)
@@ -251,6 +252,7 @@
 	heartbeat.SetRequestRate(s.RequestRate())
 	heartbeat.SetCallsFailingFor(callsFailingFor(s, now))
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
+	heartbeat.SetGranter(s.Ledger().Granter())
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
--- a/internal/direct/ctrl/ctrl.go
+++ b/internal/direct/ctrl/ctrl.go
@@ -10,6 +10,7 @@
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/expire"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grant"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/ingest"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/publsh"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/pull"
@@ -23,6 +24,7 @@
 		ingest.System{},
 		push.System{},
 		beats.System{},
+		grant.System{},
 		pull.System{},
 		expire.System{},
 		publsh.System{},
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -47,6 +47,7 @@
 	responseTime      time.Duration                         // of the registry; 10 ms if 0
 	pushDelay         func() time.Duration                  // until a push arrives, while heartbeats arrive at once; nil for no delay
 	delayed           []delivery                            // the pushes on their way
+	declared          lagoon.Catalog                        // what the catalog declares, without its version
 }
 
 // delivery is a message that arrives later.
@@ -65,7 +66,8 @@
 	pending        []*pendingCall
 	mailbox        []any
 	down           bool
-	registryCutOff bool                  // the registry responds to none of its calls
+	registryCutOff bool // the registry responds to none of its calls
+	requestCount   atomic.Int64
 	hangingTopics  map[lagoon.Topic]bool // calls of these topics never get a response
 }
 
@@ -222,7 +224,7 @@
 	switch topic {
 	case lagoon.TopicCatalog:
 		if f.catalogVersion > 0 && f.catalogVersion > after {
-			var catalog lagoon.Catalog
+			catalog := f.declared
 			catalog.SetVersion(f.catalogVersion)
 			catalog.SetRevision(f.catalogVersion)
 			update.SetCatalog(catalog)
--- /dev/null
+++ b/internal/direct/ctrl/grant/grant.go
@@ -0,0 +1,188 @@
+// Package grant grants quota tokens to nodes, and asks for those that this node needs.
+//
+// # Usage
+//
+//	systems = append(systems, grant.System{})
+//
+// A quota holds over all nodes together. Each node names one hub as its granter and asks it for
+// tokens. A granter refills one bucket for each organisation at the organisation's rate times
+// the granter's weight, the share of all request traffic whose nodes name it. The weights of all
+// granters add up to at most 1, so the quota also holds while nodes do not hear each other.
+package grant
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
+	"github.com/lagoontrail/lagoon/internal/direct/state"
+)
+
+// Times of the choice of a granter.
+const (
+	answerTimeout  = 150 * time.Millisecond // without an answer, until another granter is chosen
+	avoidTime      = 2 * time.Second        // for which a granter that did not answer is not chosen
+	reconnectTime  = 200 * time.Millisecond // for which a granter without an open connection is not chosen
+	chooseInterval = 50 * time.Millisecond  // between two choices if nothing has happened
+	heardTimeout   = 800 * time.Millisecond // without a message, until a node no longer counts towards its granter's weight; heartbeats come every 500 ms
+	aloneAfter     = 900 * time.Millisecond // without an answer, until a node that still hears hubs grants tokens to itself; by then its granter no longer counts it
+	deniedRetry    = 300 * time.Millisecond // for callers, while the node has no granter
+)
+
+// System grants and asks for tokens.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "grant" }
+
+// Run handles the answers and requests received in this tick.
+func (System) Run(s *state.State, now time.Duration) {
+	advance(s, now)
+	for _, m := range s.QuotaGrants() {
+		receive(s, m)
+	}
+	if at := s.Ledger().UnansweredAt(); at > 0 && now-at >= answerTimeout {
+		avoid(s, s.Ledger().Granter(), at, now, avoidTime)
+	}
+	if s.Ledger().Granter() == "" || now-s.Ledger().ChosenAt() >= chooseInterval {
+		choose(s, now)
+	}
+	for _, m := range s.QuotaRequests() {
+		if m.From() == s.Self().Name() {
+			ask(s, m, now)
+		} else if row, ok := s.Peers().Find(m.From()); ok {
+			if row.Granter() != s.Self().Name() {
+				row.SetGranter(s.Self().Name())
+				s.Ledger().SetWeightDue(true)
+			}
+			row.SetAskedAt(now)
+			advance(s, now)
+			s.Link().Send(row.Member().Addr(), serve(s, m)) // the node asks again if the answer is lost
+		}
+	}
+}
+
+// receive passes an answer to traffic.
+func receive(s *state.State, m *lagoon.QuotaGrant) {
+	l := s.Ledger()
+	l.SetLostAt(0)
+	switch {
+	case m.From() != l.Granter() || m.Sent() < l.UnansweredAt():
+	case m.Sent() < l.AskedAt():
+		l.SetUnansweredAt(l.AskedAt())
+	default:
+		l.SetUnansweredAt(0)
+	}
+	deliver(s, m)
+}
+
+// deliver passes a grant to this node's traffic.
+func deliver(s *state.State, m *lagoon.QuotaGrant) {
+	if s.DeliverGrant() != nil {
+		s.DeliverGrant()(m) // traffic asks again if its mailbox is full
+	}
+}
+
+// ask passes a request of this node's traffic to the granter.
+func ask(s *state.State, m *lagoon.QuotaRequest, now time.Duration) {
+	l := s.Ledger()
+	for range beats.HubCount + 1 {
+		switch row, ok := s.Peers().Find(l.Granter()); {
+		case l.Granter() == s.Self().Name():
+			advance(s, now)
+			deliver(s, serve(s, m))
+			return
+		case !ok:
+			deliver(s, refusal(s, m))
+			return
+		case s.Link().Send(row.Member().Addr(), m):
+			l.SetAskedAt(m.Sent())
+			if l.UnansweredAt() == 0 {
+				l.SetUnansweredAt(m.Sent())
+			}
+			return
+		}
+		avoid(s, l.Granter(), m.Sent(), now, reconnectTime)
+	}
+	deliver(s, refusal(s, m))
+}
+
+// refusal returns the answer of a node that has no granter.
+func refusal(s *state.State, m *lagoon.QuotaRequest) *lagoon.QuotaGrant {
+	out := newGrant(s, m)
+	for _, want := range m.Wants() {
+		var share lagoon.QuotaShare
+		share.SetOrganisation(want.Organisation())
+		share.SetRetryAfter(deniedRetry)
+		out.SetShares(append(out.Shares(), share))
+	}
+	return out
+}
+
+// avoid records that a granter did not answer a request, and chooses another one.
+func avoid(s *state.State, granter string, sentAt, now, duration time.Duration) {
+	if row, ok := s.Peers().Find(granter); ok {
+		row.SetAvoidUntil(now + duration)
+	}
+	if s.Ledger().LostAt() == 0 {
+		s.Ledger().SetLostAt(sentAt)
+	}
+	s.Ledger().SetUnansweredAt(0)
+	choose(s, now)
+}
+
+// choose chooses the granter: the first hub in an order that all nodes share, of those that are
+// heard and did not fail to answer lately. A node that hears no hub names itself. One that
+// hears hubs which do not answer has none until its last granter no longer counts it.
+func choose(s *state.State, now time.Duration) {
+	l := s.Ledger()
+	l.SetChosenAt(now)
+	heard, hubs := candidates(s, now)
+	name := ""
+	switch {
+	case len(hubs) > 0:
+		name = hubs[0].Name()
+	case !heard || now-l.LostAt() >= aloneAfter:
+		name = s.Self().Name()
+	}
+	if name == l.Granter() {
+		return
+	}
+	s.Record("granter", name, fmt.Sprintf("quota tokens are asked of %q instead of %q; hubs heard: %t, a request is unanswered for %s", name, l.Granter(), heard, unanswered(s, now)))
+	l.SetGranter(name)
+	l.SetChangedAt(now)
+	l.SetUnansweredAt(0)
+	l.SetWeightDue(true)
+}
+
+// unanswered returns for how long no granter has answered.
+func unanswered(s *state.State, now time.Duration) time.Duration {
+	if s.Ledger().LostAt() == 0 {
+		return 0
+	}
+	return now - s.Ledger().LostAt()
+}
+
+// candidates returns the hubs that may be the granter, in the common order, and whether any hub
+// was heard. Nodes of the earlier release name no granter and grant nothing.
+func candidates(s *state.State, now time.Duration) (heard bool, out []lagoon.Member) {
+	if s.Hub() {
+		heard, out = true, append(out, s.Self())
+	}
+	for _, row := range beats.LiveHubs(s, now) {
+		if row.Stopping() || row.Granter() == "" || now-row.HeartbeatAt() >= beats.HubTimeout {
+			continue
+		}
+		heard = true
+		if now >= row.AvoidUntil() {
+			out = append(out, row.Member())
+		}
+	}
+	slices.SortFunc(out, func(a, b lagoon.Member) int {
+		return cmp.Or(cmp.Compare(b.Cores(), a.Cores()), cmp.Compare(a.Zone(), b.Zone()), cmp.Compare(a.Name(), b.Name()))
+	})
+	return heard, out
+}
--- /dev/null
+++ b/internal/direct/ctrl/grant/ledger.go
@@ -0,0 +1,297 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/bucket"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
+	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/pkg/subset"
+)
+
+// Defaults of the bounds on quotas.
+const (
+	defaultWindow  = 5 * time.Second
+	defaultOverage = 0.1
+	defaultSlack   = 20.0 // requests
+)
+
+// How the bound on a window is used. All tokens granted in the window may be used in it, and
+// those granted up to their validity before it. So the tokens of the validity, the initial tokens
+// of new buckets, and what two granters grant while one of them does not know yet that a node
+// has left it, together stay below the overage.
+const (
+	validShare    = 0.5                   // the validity of tokens, as a share of overage x window; 250 ms by default
+	minValidity   = 50 * time.Millisecond // of tokens, if the overage leaves less; spans an answer from another zone
+	maxValidity   = time.Second           // of tokens
+	initialShare  = 0.4                   // the time for which a new bucket has the rate's tokens, as a share of overage x window; 200 ms by default, which makes up for tokens lost with the last granter
+	minBurst      = 50 * time.Millisecond // of its rate, that a bucket holds at least; nodes ask every 30 ms
+	headroomShare = 0.25                  // of the slack, that a bucket holds beyond the burst; makes up for tokens that expire unused
+	reserveShare  = 0.5                   // of the slack, for all nodes together that have no share yet
+)
+
+// Times of weights.
+const (
+	pauseLimit   = time.Second            // between two ticks, after which this node has paused and others may have granted in its place
+	rememberTime = time.Minute            // for which the traffic of a node that is not heard counts; it may be running beyond a broken link
+	newHubTime   = 2 * time.Second        // for which a new hub has not heard all nodes yet; spans several heartbeats
+	minWeighing  = 5 * time.Millisecond   // between two computations of the weight, which go over all nodes
+	forgetStop   = 5 * time.Second        // for which the traffic of a node that stops counts after its last heartbeat
+	trimStep     = 0.02                   // the relative fall of the weight at which all buckets are limited anew
+	priorRate    = 0.1                    // requests per second of a node that callers are referred to, before rates are known
+	smallPrior   = 0.01 * priorRate       // of any other node
+	startingTime = 20 * time.Second       // for which an announced node counts that was not heard yet
+	weighTime    = state.TickInterval - 1 // between two computations if nothing has happened
+)
+
+// bounds returns the bounds with defaults for those that are not set.
+func bounds(s *state.State) (window time.Duration, overage, slack float64) {
+	b := s.QuotaBounds()
+	window, overage, slack = b.Window(), b.Overage(), b.Slack()
+	if window <= 0 {
+		window = defaultWindow
+	}
+	if overage <= 0 {
+		overage = defaultOverage
+	}
+	if slack <= 0 {
+		slack = defaultSlack
+	}
+	return window, overage, slack
+}
+
+// validity returns how long tokens may be used.
+func validity(s *state.State) time.Duration {
+	window, overage, _ := bounds(s)
+	return max(min(time.Duration(validShare*overage*float64(window)), maxValidity), minValidity)
+}
+
+// initialSeconds returns the time for whose tokens a new bucket has at once.
+func initialSeconds(s *state.State) float64 {
+	window, overage, _ := bounds(s)
+	return min(initialShare*overage*window.Seconds(), maxValidity.Seconds())
+}
+
+// advance advances the clock of the buckets by the weight, and updates the weight.
+func advance(s *state.State, now time.Duration) {
+	l := s.Ledger()
+	switch elapsed := now - l.ClockAt(); {
+	case l.ClockAt() == 0:
+	case elapsed >= pauseLimit:
+		reset(s)
+	default:
+		l.SetClock(l.Clock() + l.Weight()*elapsed.Seconds())
+	}
+	l.SetClockAt(now)
+	if age := now - l.WeighedAt(); age < minWeighing || (age < weighTime && !l.WeightDue()) {
+		return
+	}
+	l.SetWeighedAt(now)
+	l.SetWeightDue(false)
+	updateShare(s, now)
+	weight := weigh(s, now)
+	if weight == 0 && l.Weight() > 0 {
+		reset(s)
+	}
+	if weight > l.Credited() {
+		l.SetClock(l.Clock() + initialSeconds(s)*(weight-l.Credited()))
+		l.SetCredited(weight)
+	}
+	fell := weight < l.Weight()*(1-trimStep)
+	if fell || weight > l.Weight() {
+		l.SetWeight(weight)
+	}
+	if fell {
+		trim(s)
+	}
+}
+
+// reset empties all buckets. The organisations of a node that has granted nothing but the reserve
+// keep theirs, so that none gets the reserve twice.
+func reset(s *state.State) {
+	l := s.Ledger()
+	if l.SharedAt() == 0 && l.Weight() == 0 {
+		return
+	}
+	for s.Buckets().Len() > 0 {
+		s.Buckets().Remove(s.Buckets().ID(s.Buckets().Len() - 1))
+	}
+	l.SetOrigin(l.Clock())
+	l.SetCredited(0)
+	l.SetWeight(0)
+}
+
+// trim limits all buckets to the present weight. Another granter may have got the rest of it.
+func trim(s *state.State) {
+	l := s.Ledger()
+	for i := range s.Buckets().Len() {
+		row := s.Buckets().At(i)
+		row.TokensRef().Refill(l.Clock(), row.Rate(), limit(s, row.Rate(), row.Burst()))
+	}
+	l.SetOrigin(max(l.Origin(), l.Clock()-initialSeconds(s)*l.Weight()))
+}
+
+// limit returns the number of tokens that a bucket may hold.
+func limit(s *state.State, rate, burst float64) float64 {
+	_, _, slack := bounds(s)
+	return max(1, s.Ledger().Weight()*(max(burst, rate*minBurst.Seconds())+headroomShare*slack))
+}
+
+// updateShare updates this node's share of all traffic while it hears a hub.
+func updateShare(s *state.State, now time.Duration) {
+	total := 0.0
+	if s.Hub() {
+		total = s.RequestRate()
+		for i := range s.Peers().Len() {
+			if row := s.Peers().At(i); now-row.HeartbeatAt() < heardTimeout {
+				total += row.RequestRate()
+			}
+		}
+	} else {
+		for _, row := range beats.LiveHubs(s, now) {
+			if now-row.HeartbeatAt() < heardTimeout {
+				total = max(total, row.TotalRequestRate())
+			}
+		}
+	}
+	if total > 0 && s.RequestRate() > 0 {
+		s.Ledger().SetShare(min(s.RequestRate()/total, 1))
+		s.Ledger().SetSharedAt(now)
+	}
+}
+
+// weigh returns the weight of this node as a granter.
+func weigh(s *state.State, now time.Duration) float64 {
+	l, self := s.Ledger(), s.Self()
+	if l.Granter() == self.Name() && !s.Hub() {
+		return l.Share()
+	}
+	if !s.Hub() {
+		l.SetHubSince(0)
+	} else if l.HubSince() == 0 {
+		l.SetHubSince(now)
+	}
+	largest := self.Cores()
+	for i := range s.Peers().Len() {
+		largest = max(largest, s.Peers().At(i).Member().Cores())
+	}
+	traffic := func(m lagoon.Member, rate float64) float64 {
+		if subset.Large(m.Cores(), largest) {
+			return rate + priorRate
+		}
+		return rate + smallPrior
+	}
+	own := traffic(self, s.RequestRate())
+	named, all, reported := 0.0, own, 0.0
+	if l.Granter() == self.Name() {
+		named = own
+	}
+	for i := range s.Peers().Len() {
+		row := s.Peers().At(i)
+		heardAt := max(row.HeartbeatAt(), row.AskedAt())
+		switch silence := now - heardAt; {
+		case heardAt == 0 && now-row.KnownAt() >= startingTime:
+			continue
+		case heardAt > 0 && (silence >= rememberTime || (row.Stopping() && silence >= forgetStop)):
+			continue
+		case heardAt > 0 && silence < heardTimeout && row.Granter() == self.Name():
+			named += traffic(row.Member(), row.RequestRate())
+		}
+		all += traffic(row.Member(), row.RequestRate())
+		if now-row.HeartbeatAt() >= beats.HubTimeout || l.HubSince() == 0 || now-l.HubSince() < newHubTime {
+			reported = max(reported, row.TotalRequestRate())
+		}
+	}
+	return named / max(all, reported)
+}
+
+// serve takes the wanted tokens from the buckets.
+func serve(s *state.State, m *lagoon.QuotaRequest) *lagoon.QuotaGrant {
+	out := newGrant(s, m)
+	for _, want := range m.Wants() {
+		out.SetShares(append(out.Shares(), serveOne(s, want)))
+	}
+	return out
+}
+
+func newGrant(s *state.State, m *lagoon.QuotaRequest) *lagoon.QuotaGrant {
+	out := &lagoon.QuotaGrant{}
+	out.SetFrom(s.Self().Name())
+	out.SetSent(m.Sent())
+	out.SetValidFor(validity(s))
+	return out
+}
+
+func serveOne(s *state.State, want lagoon.QuotaWant) lagoon.QuotaShare {
+	l := s.Ledger()
+	var share lagoon.QuotaShare
+	share.SetOrganisation(want.Organisation())
+	rate, burst := quotaOf(s, want)
+	if rate <= 0 {
+		return share // only an unlimited organisation has no rate, and nobody asks for it
+	}
+	row := ensure(s, want.Organisation())
+	row.SetRate(rate)
+	row.SetBurst(burst)
+	row.TokensRef().Refill(l.Clock(), rate, max(limit(s, rate, burst), reserve(s)))
+	share.SetTokens(row.TokensRef().Take(want.Tokens()))
+	if missing := float64(want.Tokens()-share.Tokens()) - row.TokensRef().Tokens(); missing > 0 {
+		share.SetRetryAfter(retryAfter(s, missing, rate))
+	}
+	return share
+}
+
+// retryAfter returns the time in which a bucket gets the missing tokens.
+func retryAfter(s *state.State, missing, rate float64) time.Duration {
+	window, _, _ := bounds(s)
+	seconds := missing / max(rate*s.Ledger().Weight(), 1/window.Seconds())
+	return time.Duration(min(seconds, window.Seconds()) * float64(time.Second))
+}
+
+// quotaOf returns the quota of an organisation: the lower of what this node and the one that asks
+// know, as either may have an old catalog.
+func quotaOf(s *state.State, want lagoon.QuotaWant) (rate, burst float64) {
+	rate, burst = want.RatePerSecond(), want.Burst()
+	own := s.PublishedView().Load().Organisations().Named(want.Organisation())
+	if own == nil || own.RatePerSecond() <= 0 {
+		return rate, burst
+	}
+	if rate <= 0 {
+		return own.RatePerSecond(), own.Burst()
+	}
+	return min(rate, own.RatePerSecond()), min(burst, own.Burst())
+}
+
+// ensure returns the bucket of an organisation. A new one has the tokens of the time since this
+// node became a granter, or the reserve if it has no share of the traffic yet.
+func ensure(s *state.State, organisation string) *bucket.Row {
+	if row, ok := s.Buckets().Find(organisation); ok {
+		return row
+	}
+	row := s.Buckets().Ensure(organisation)
+	row.TokensRef().Skip(s.Ledger().Origin())
+	row.TokensRef().Add(reserve(s))
+	return row
+}
+
+// reserve returns the tokens of an organisation at a node that has no granter and does not know
+// its share of the traffic yet. Callers use only the nodes that they are referred to, so that the
+// reserve is divided by their number.
+func reserve(s *state.State) float64 {
+	l := s.Ledger()
+	if l.SharedAt() > 0 || s.Hub() || l.Granter() != s.Self().Name() {
+		return 0
+	}
+	_, _, slack := bounds(s)
+	nodes, largest := 1.0, s.Self().Cores()
+	for i := range s.Peers().Len() {
+		largest = max(largest, s.Peers().At(i).Member().Cores())
+	}
+	for i := range s.Peers().Len() {
+		if subset.Large(s.Peers().At(i).Member().Cores(), largest) {
+			nodes++
+		}
+	}
+	return reserveShare * slack / nodes
+}
--- /dev/null
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -0,0 +1,155 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// overload makes some organisations send several times their quota, large and small ones.
+func (c *crowd) overload(factor float64) {
+	for i, o := range c.orgs {
+		if i%3 == 1 {
+			o.factor = factor
+		}
+	}
+}
+
+// TestQuotaWhenGranterIsKilled guards against requests beyond the quota after a change of the
+// granter, while the limit of an organisation falls at the same time.
+func TestQuotaWhenGranterIsKilled(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 1100 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			c := newCrowd(t, 24, 8, 24, 1200)
+			c.run(6 * time.Second)
+			c.overload(6)
+			c.run(6 * time.Second)
+			lowered := c.orgs[0]
+			c.checkBound("before")
+			c.forget()
+			lowered.rate, lowered.burst, lowered.factor = lowered.rate/10, lowered.burst/10, 2
+			c.declare()
+			changedAt := c.now
+			c.run(after)
+			c.granter().down = true
+			old := *lowered
+			c.orgs[0] = &organisation{name: "not checked", rate: 1e9}
+			c.spread = c.runningLarge(8)
+			c.orgs = append(c.orgs, lowered)
+			c.run(12 * time.Second)
+			c.orgs = c.orgs[:len(c.orgs)-1]
+			c.checkBound("granter killed")
+			if got, most := lowered.mostInWindow(changedAt+5*time.Second), old.bound(); float64(got) > most {
+				t.Errorf("lowered limit: got %d requests in a window, want at most %.0f", got, most)
+			}
+		})
+	}
+}
+
+// runningLarge spreads requests over the large nodes that run.
+func (c *crowd) runningLarge(large int) func(*organisation) *frontNode {
+	return func(*organisation) *frontNode {
+		for {
+			if n := c.fronts[c.rng.IntN(large)]; !n.down {
+				return n
+			}
+		}
+	}
+}
+
+// TestQuotaWhenNodesAreCutOff guards against two granters that together grant more than the
+// quota, because nodes do not hear each other while callers reach all of them.
+func TestQuotaWhenNodesAreCutOff(t *testing.T) {
+	for _, test := range []struct {
+		every  int
+		length time.Duration
+	}{{6, 6 * time.Second}, {6, 12 * time.Second}, {3, 6 * time.Second}, {3, 12 * time.Second}} {
+		for _, hubs := range []int{0, 1, 2} { // of the hubs that are cut off
+			t.Run(fmt.Sprintf("1 of %d, %s, %d hubs", test.every, test.length, hubs), func(t *testing.T) {
+				c := newCrowd(t, 24, 12, 24, 1200)
+				c.run(6 * time.Second)
+				c.overload(6)
+				c.run(3 * time.Second)
+				out := map[string]bool{}
+				for _, n := range c.fronts {
+					if n.control.Hub() && len(out) < hubs {
+						out[n.self.Name()] = true
+					}
+				}
+				for i, n := range c.fronts {
+					if len(out) < 24/test.every && !n.control.Hub() && (i < 12/test.every || i >= 12) {
+						out[n.self.Name()] = true
+					}
+				}
+				c.dropMessage = func(from, to *node) bool { return out[from.self.Name()] != out[to.self.Name()] }
+				c.forget()
+				c.run(test.length)
+				c.checkBound("cut off")
+				c.dropMessage = nil
+				c.run(8 * time.Second)
+				c.checkBound("and connected again")
+			})
+		}
+	}
+}
+
+// TestQuotaWhenAllNodesRestart guards against requests beyond the quota, and against refusals,
+// when all nodes lose their state at once.
+func TestQuotaWhenAllNodesRestart(t *testing.T) {
+	c := newCrowd(t, 24, 8, 24, 1200)
+	c.run(6 * time.Second)
+	c.overload(6)
+	c.run(4 * time.Second)
+	for _, n := range c.fronts {
+		c.startFront(n.self.Name(), n.self.Zone())
+	}
+	c.run(10 * time.Second)
+	c.checkBound("all nodes restarted")
+	c.forget()
+	c.run(8 * time.Second)
+	c.checkBound("afterwards")
+	if got := c.refusedShare(); got > 0.005 {
+		t.Errorf("afterwards: got %.3f %% of the requests within the quota refused, want at most 0.5 %%", 100*got)
+	}
+}
+
+// TestQuotaWhenCallersMove guards against tokens that callers leave at one node and use again
+// when they come back, and against refusals of callers that move.
+func TestQuotaWhenCallersMove(t *testing.T) {
+	c := newCrowd(t, 24, 8, 24, 1200)
+	c.run(6 * time.Second)
+	c.overload(6)
+	c.spread = func(o *organisation) *frontNode {
+		return c.fronts[(int(c.now/(400*time.Millisecond))*3+len(o.name)+int(o.name[len(o.name)-1]))%8]
+	}
+	c.forget()
+	c.run(12 * time.Second)
+	c.checkBound("callers move")
+	if got := c.refusedShare(); got > 0.005 {
+		t.Errorf("got %.3f %% of the requests within the quota refused, want at most 0.5 %%", 100*got)
+	}
+}
+
+// TestQuotaWhenNodesPause guards against tokens that a paused node uses late, and against a
+// granter that grants for the time of its pause, in which another one granted.
+func TestQuotaWhenNodesPause(t *testing.T) {
+	for _, granter := range []bool{false, true} {
+		for _, length := range []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprintf("granter %t, %s", granter, length), func(t *testing.T) {
+				c := newCrowd(t, 24, 8, 24, 1200)
+				c.run(6 * time.Second)
+				c.overload(6)
+				c.run(3 * time.Second)
+				n := c.granter()
+				for i := 0; !granter && n == c.granter(); i++ {
+					n = c.fronts[i]
+				}
+				n.paused = true
+				c.run(length)
+				n.paused = false
+				c.run(8 * time.Second)
+				c.checkBound("paused")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/ledger/ledger.go
@@ -0,0 +1,34 @@
+// Package ledger holds what a node knows about the granting of quota tokens: its granter, and its
+// weight and clock as a granter itself.
+//
+// # Usage
+//
+//	row := s.Ledger()
+//	row.SetGranter("frontend-macon-a-1")
+package ledger
+
+import "time"
+
+//go:generate go run ../../accgen -dir . -rows
+
+// Row is the state of one node.
+type Row struct {
+	granter      string        // the node that grants tokens to this node, which may be itself; empty if none may
+	chosenAt     time.Duration // when the granter was last chosen
+	changedAt    time.Duration // when the granter last changed
+	unansweredAt time.Duration // when the oldest request without an answer was sent to the granter; 0 if there is none
+	askedAt      time.Duration // when the last request was sent to the granter
+	lostAt       time.Duration // when the first request that no granter answered was sent; 0 since an answer
+	share        float64       // this node's share of all request traffic while it last heard a hub
+	sharedAt     time.Duration // when the share was last known; 0 for never
+
+	hubSince time.Duration // since when this node is a hub; 0 if it is none
+
+	weight    float64       // the share of all request traffic whose nodes name this node as their granter
+	weighedAt time.Duration // when the weight was last computed
+	weightDue bool          // whether the weight has to be computed anew, as nodes have changed their granter
+	clock     float64       // the clock of the buckets: the integral of the weight over time, in seconds
+	clockAt   time.Duration // when the clock was last advanced
+	origin    float64       // the reading of the clock from which an organisation without a bucket accrues tokens
+	credited  float64       // the weight for which the buckets got their initial tokens
+}
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -112,6 +112,36 @@
 // SetControlTick sets when the last tick of control began, in nanoseconds of the clock; nil if it is not known.
 func (v *Loop) SetControlTick(x *atomic.Int64) { v.controlTick = x }
 
+// AskTokens returns the function that passes a request for quota tokens to control; nil grants none.
+func (v *Loop) AskTokens() func(m any) bool { return v.askTokens }
+
+// SetAskTokens sets the function that passes a request for quota tokens to control; nil grants none.
+func (v *Loop) SetAskTokens(x func(m any) bool) { v.askTokens = x }
+
+// TokensAskedAt returns when quota tokens were last asked for.
+func (v *Loop) TokensAskedAt() time.Duration { return v.tokensAskedAt }
+
+// SetTokensAskedAt sets when quota tokens were last asked for.
+func (v *Loop) SetTokensAskedAt(x time.Duration) { v.tokensAskedAt = x }
+
+// TokenRecheck returns the time of the timer that asks for quota tokens next; 0 or past for none.
+func (v *Loop) TokenRecheck() time.Duration { return v.tokenRecheck }
+
+// SetTokenRecheck sets the time of the timer that asks for quota tokens next; 0 or past for none.
+func (v *Loop) SetTokenRecheck(x time.Duration) { v.tokenRecheck = x }
+
+// QuotaGrants returns the grants of quota tokens received in this tick.
+func (v *Loop) QuotaGrants() []*lagoon.QuotaGrant { return v.quotaGrants }
+
+// SetQuotaGrants sets the grants of quota tokens received in this tick.
+func (v *Loop) SetQuotaGrants(x []*lagoon.QuotaGrant) { v.quotaGrants = x }
+
+// ShortOfTokens returns the organisations that may need quota tokens.
+func (v *Loop) ShortOfTokens() []string { return v.shortOfTokens }
+
+// SetShortOfTokens sets the organisations that may need quota tokens.
+func (v *Loop) SetShortOfTokens(x []string) { v.shortOfTokens = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -31,6 +31,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/stats"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/internal/direct/usage"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/rows"
@@ -61,6 +62,11 @@
 	extraWindow   time.Duration                                              // the length of the window that ExtraSlack applies to
 	view          *view.View                                                 // the view in force in this tick
 	controlTick   *atomic.Int64                                              // when the last tick of control began, in nanoseconds of the clock; nil if it is not known
+	askTokens     func(m any) bool                                           // the function that passes a request for quota tokens to control; nil grants none
+	tokensAskedAt time.Duration                                              // when quota tokens were last asked for
+	tokenRecheck  time.Duration                                              // the time of the timer that asks for quota tokens next; 0 or past for none
+	quotaGrants   []*lagoon.QuotaGrant                                       // the grants of quota tokens received in this tick
+	shortOfTokens []string                                                   // the organisations that may need quota tokens
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
@@ -79,6 +85,7 @@
 	pauses     rows.Table[pauses.Row]
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
+	usage      rows.Table[usage.Row]
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -140,6 +147,10 @@
 // Budgets returns the table of retry budgets.
 func (l *Loop) Budgets() *rows.Table[tokens.Row] { return &l.budgets }
 
+// Usage returns the table of the organisations with a quota that send requests to this node, by
+// name.
+func (l *Loop) Usage() *rows.Table[usage.Row] { return &l.usage }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
@@ -205,6 +216,7 @@
 	}
 	l.arrived, l.disconnected, l.completed = l.arrived[:0], l.disconnected[:0], l.completed[:0]
 	l.changed, l.decided = l.changed[:0], l.decided[:0]
+	l.quotaGrants = l.quotaGrants[:0]
 	for i := range l.dueRows {
 		l.dueRows[i] = l.dueRows[i][:0]
 	}
@@ -229,6 +241,8 @@
 			attempt.SetElapsed(m.elapsed)
 			l.completed = append(l.completed, m.attempt)
 		}
+	case *lagoon.QuotaGrant:
+		l.quotaGrants = append(l.quotaGrants, m)
 	}
 }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -88,3 +88,9 @@
 
 // SetRevokeTime sets within which a key that was removed from the catalog must be refused; 0 for no bound.
 func (v *Node) SetRevokeTime(x time.Duration) { v.revokeTime = x }
+
+// QuotaBounds returns the bounds on the quotas of organisations; zero values mean the defaults.
+func (v *Node) QuotaBounds() lagoon.QuotaBounds { return v.quotaBounds }
+
+// SetQuotaBounds sets the bounds on the quotas of organisations; zero values mean the defaults.
+func (v *Node) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -45,20 +45,21 @@
 
 // Node is one node. Create it with New.
 type Node struct {
-	self         lagoon.Member    // this node
-	clock        lagoon.Clock     // the clock
-	registry     lagoon.Registry  // the registry of the catalog, servers and nodes
-	transport    lagoon.Transport // the transport that sends attempts to servers
-	link         lagoon.PeerLink  // the link that sends messages to other nodes
-	journal      lagoon.Journal   // the journal of decisions
-	hubWait      time.Duration    // how long after its start the node waits for a hub before it reads all topics itself
-	announceWait time.Duration    // how long after its start the node waits for other nodes' announcements
-	applyTime    time.Duration    // within which a change accepted by the registry must be in force on each node; 0 means the default
-	drainTime    time.Duration    // for which a server serves after the registry accepted that it leaves; 0 means the default
-	extraRatio   float64          // the retries and hedges that all nodes together may send to a service, as a share of its requests
-	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
-	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
-	revokeTime   time.Duration    // within which a key that was removed from the catalog must be refused; 0 for no bound
+	self         lagoon.Member      // this node
+	clock        lagoon.Clock       // the clock
+	registry     lagoon.Registry    // the registry of the catalog, servers and nodes
+	transport    lagoon.Transport   // the transport that sends attempts to servers
+	link         lagoon.PeerLink    // the link that sends messages to other nodes
+	journal      lagoon.Journal     // the journal of decisions
+	hubWait      time.Duration      // how long after its start the node waits for a hub before it reads all topics itself
+	announceWait time.Duration      // how long after its start the node waits for other nodes' announcements
+	applyTime    time.Duration      // within which a change accepted by the registry must be in force on each node; 0 means the default
+	drainTime    time.Duration      // for which a server serves after the registry accepted that it leaves; 0 means the default
+	extraRatio   float64            // the retries and hedges that all nodes together may send to a service, as a share of its requests
+	extraSlack   float64            // the retries and hedges that all nodes together may send to a service in a window, beyond that share
+	extraWindow  time.Duration      // the length of the window that ExtraSlack applies to
+	revokeTime   time.Duration      // within which a key that was removed from the catalog must be refused; 0 for no bound
+	quotaBounds  lagoon.QuotaBounds // the bounds on the quotas of organisations; zero values mean the defaults
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -142,6 +143,8 @@
 	n.control.SetPublishedView(&n.publishedView)
 	n.control.SetTickedAt(&n.controlTick)
 	n.control.SetRegistryReachable(true)
+	n.control.SetQuotaBounds(n.quotaBounds)
+	n.control.SetDeliverGrant(n.trafficMailbox.TryPost)
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
 	n.traffic.SetPublishedView(&n.publishedView)
@@ -156,13 +159,14 @@
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
 	n.traffic.SetDrainTime(n.drainTime)
+	n.traffic.SetAskTokens(n.controlMailbox.TryPost)
 	n.traffic.SetSystems(trfc.Systems())
 }
 
 // Receive accepts a message from another node.
 func (n *Node) Receive(ctx context.Context, m lagoon.Message) {
 	switch m.(type) {
-	case *lagoon.Heartbeat, *lagoon.RegistryPush:
+	case *lagoon.Heartbeat, *lagoon.RegistryPush, *lagoon.QuotaRequest, *lagoon.QuotaGrant:
 		_ = n.controlMailbox.Post(ctx, m) // fails only if ctx ends, when the node stops
 	}
 }
--- a/internal/direct/peers/accessors_gen.go
+++ b/internal/direct/peers/accessors_gen.go
@@ -118,3 +118,21 @@
 
 // SetCallsFailingFor sets for how long its registry calls had failed at its last heartbeat.
 func (v *Row) SetCallsFailingFor(x time.Duration) { v.callsFailingFor = x }
+
+// Granter returns the node that grants it quota tokens, as it last said; empty for a node of an earlier release.
+func (v *Row) Granter() string { return v.granter }
+
+// SetGranter sets the node that grants it quota tokens, as it last said; empty for a node of an earlier release.
+func (v *Row) SetGranter(x string) { v.granter = x }
+
+// AskedAt returns when it last asked this node for quota tokens; 0 for never.
+func (v *Row) AskedAt() time.Duration { return v.askedAt }
+
+// SetAskedAt sets when it last asked this node for quota tokens; 0 for never.
+func (v *Row) SetAskedAt(x time.Duration) { v.askedAt = x }
+
+// AvoidUntil returns until when this node asks it for no quota tokens, because an answer is missing; 0 if none is.
+func (v *Row) AvoidUntil() time.Duration { return v.avoidUntil }
+
+// SetAvoidUntil sets until when this node asks it for no quota tokens, because an answer is missing; 0 if none is.
+func (v *Row) SetAvoidUntil(x time.Duration) { v.avoidUntil = x }
--- a/internal/direct/peers/peers.go
+++ b/internal/direct/peers/peers.go
@@ -35,4 +35,7 @@
 	needsUpdate      bool            // whether it missed an update and its own registry calls fail
 	pushedAt         time.Duration   // when this node, as a hub, last sent it all topics
 	callsFailingFor  time.Duration   // for how long its registry calls had failed at its last heartbeat
+	granter          string          // the node that grants it quota tokens, as it last said; empty for a node of an earlier release
+	askedAt          time.Duration   // when it last asked this node for quota tokens; 0 for never
+	avoidUntil       time.Duration   // until when this node asks it for no quota tokens, because an answer is missing; 0 if none is
 }
--- a/internal/direct/reqs/accessors_gen.go
+++ b/internal/direct/reqs/accessors_gen.go
@@ -101,3 +101,27 @@
 
 // SetRank sets the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest.
 func (v *Row) SetRank(x int) { v.rank = x }
+
+// TokenUntil returns when the quota token of this request expires; 0 if it has none.
+func (v *Row) TokenUntil() time.Duration { return v.tokenUntil }
+
+// SetTokenUntil sets when the quota token of this request expires; 0 if it has none.
+func (v *Row) SetTokenUntil(x time.Duration) { v.tokenUntil = x }
+
+// Counted returns whether it was counted as demand of its organisation.
+func (v *Row) Counted() bool { return v.counted }
+
+// SetCounted sets whether it was counted as demand of its organisation.
+func (v *Row) SetCounted(x bool) { v.counted = x }
+
+// SentAt returns when the first attempt was started; 0 before.
+func (v *Row) SentAt() time.Duration { return v.sentAt }
+
+// SetSentAt sets when the first attempt was started; 0 before.
+func (v *Row) SetSentAt(x time.Duration) { v.sentAt = x }
+
+// Reached returns whether an attempt may have reached a server.
+func (v *Row) Reached() bool { return v.reached }
+
+// SetReached sets whether an attempt may have reached a server.
+func (v *Row) SetReached(x bool) { v.reached = x }
--- a/internal/direct/reqs/reqs.go
+++ b/internal/direct/reqs/reqs.go
@@ -35,4 +35,8 @@
 	trace         []byte                 // the attempts so far, for the journal
 	organisation  string                 // the organisation of the caller; empty if the catalog declares none or the route is public
 	rank          int                    // the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest
+	tokenUntil    time.Duration          // when the quota token of this request expires; 0 if it has none
+	counted       bool                   // whether it was counted as demand of its organisation
+	sentAt        time.Duration          // when the first attempt was started; 0 before
+	reached       bool                   // whether an attempt may have reached a server
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -252,3 +252,27 @@
 
 // SetHeartbeats sets the heartbeats received in this tick.
 func (v *State) SetHeartbeats(x []*lagoon.Heartbeat) { v.heartbeats = x }
+
+// QuotaRequests returns the requests for quota tokens received in this tick, of other nodes and of this node's traffic.
+func (v *State) QuotaRequests() []*lagoon.QuotaRequest { return v.quotaRequests }
+
+// SetQuotaRequests sets the requests for quota tokens received in this tick, of other nodes and of this node's traffic.
+func (v *State) SetQuotaRequests(x []*lagoon.QuotaRequest) { v.quotaRequests = x }
+
+// QuotaGrants returns the grants of quota tokens received in this tick.
+func (v *State) QuotaGrants() []*lagoon.QuotaGrant { return v.quotaGrants }
+
+// SetQuotaGrants sets the grants of quota tokens received in this tick.
+func (v *State) SetQuotaGrants(x []*lagoon.QuotaGrant) { v.quotaGrants = x }
+
+// DeliverGrant returns the function that passes a grant of quota tokens to this node's traffic; nil if nobody needs it.
+func (v *State) DeliverGrant() func(m any) bool { return v.deliverGrant }
+
+// SetDeliverGrant sets the function that passes a grant of quota tokens to this node's traffic; nil if nobody needs it.
+func (v *State) SetDeliverGrant(x func(m any) bool) { v.deliverGrant = x }
+
+// QuotaBounds returns the bounds on the quotas of organisations.
+func (v *State) QuotaBounds() lagoon.QuotaBounds { return v.quotaBounds }
+
+// SetQuotaBounds sets the bounds on the quotas of organisations.
+func (v *State) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -20,7 +20,9 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/bucket"
 	"github.com/lagoontrail/lagoon/internal/direct/fetch"
+	"github.com/lagoontrail/lagoon/internal/direct/ledger"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/roster"
 	"github.com/lagoontrail/lagoon/internal/direct/server"
@@ -78,12 +80,18 @@
 	pushes            []*lagoon.RegistryPush                                                                  // the updates that hubs pushed, received in this tick
 	updates           []lagoon.RegistryUpdate                                                                 // the updates read from the registry in this tick
 	heartbeats        []*lagoon.Heartbeat                                                                     // the heartbeats received in this tick
+	quotaRequests     []*lagoon.QuotaRequest                                                                  // the requests for quota tokens received in this tick, of other nodes and of this node's traffic
+	quotaGrants       []*lagoon.QuotaGrant                                                                    // the grants of quota tokens received in this tick
+	deliverGrant      func(m any) bool                                                                        // the function that passes a grant of quota tokens to this node's traffic; nil if nobody needs it
+	quotaBounds       lagoon.QuotaBounds                                                                      // the bounds on the quotas of organisations
 
 	mailbox *mbox.Mailbox
 	servers rows.Table[server.Row]
 	peers   rows.Table[peers.Row]
 	topics  rows.Table[topics.Row]
 	roster  roster.Roster
+	ledger  ledger.Row
+	buckets rows.Table[bucket.Row]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -135,6 +143,13 @@
 // Peers returns the table of other nodes.
 func (s *State) Peers() *rows.Table[peers.Row] { return &s.peers }
 
+// Ledger returns the state of this node as a granter of quota tokens, and its choice of one.
+func (s *State) Ledger() *ledger.Row { return &s.ledger }
+
+// Buckets returns the table of the token buckets that this node keeps as a granter, by the name
+// of the organisation.
+func (s *State) Buckets() *rows.Table[bucket.Row] { return &s.buckets }
+
 // Run runs ticks until ctx is done.
 func (s *State) Run(ctx context.Context) error {
 	var items []any
@@ -156,6 +171,10 @@
 			s.pushes = append(s.pushes, m)
 		case *lagoon.Heartbeat:
 			s.heartbeats = append(s.heartbeats, m)
+		case *lagoon.QuotaRequest:
+			s.quotaRequests = append(s.quotaRequests, m)
+		case *lagoon.QuotaGrant:
+			s.quotaGrants = append(s.quotaGrants, m)
 		case func(*State):
 			m(s)
 		}
@@ -168,6 +187,7 @@
 		s.tickedAt.Store(int64(now))
 	}
 	s.results, s.pushes, s.updates, s.heartbeats = nil, nil, nil, nil
+	s.quotaRequests, s.quotaGrants = nil, nil
 }
 
 // Record writes a decision to the journal.
--- a/internal/direct/trfc/admit/admit.go
+++ b/internal/direct/trfc/admit/admit.go
@@ -15,6 +15,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
 
@@ -123,6 +124,9 @@
 		finish(l, id, req, lagoon.RequestTooLarge, fmt.Sprintf("the body has %d bytes, %d are allowed", request.BodySize(), maxBytes))
 		return
 	}
+	if !quota.Take(l, id, req, view.OrganisationNamed(req.Organisation()), now) {
+		return
+	}
 	req.SetRoute(route)
 	timeout := route.Timeout()
 	if request.Timeout() > 0 && (timeout == 0 || request.Timeout() < timeout) {
--- /dev/null
+++ b/internal/direct/trfc/quota/take.go
@@ -0,0 +1,138 @@
+package quota
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/loop"
+	"github.com/lagoontrail/lagoon/internal/direct/reqs"
+	"github.com/lagoontrail/lagoon/internal/direct/usage"
+	"github.com/lagoontrail/lagoon/internal/timers"
+)
+
+// Take takes a token for a request whose organisation is known, and reports whether the request
+// may be admitted. Otherwise it has been refused, or it waits for tokens and is admitted anew
+// when its timer expires.
+func Take(l *loop.Loop, id lagoon.RowID, req *reqs.Row, organisation *lagoon.Organisation, now time.Duration) bool {
+	if organisation == nil || organisation.RatePerSecond() <= 0 {
+		return true
+	}
+	row := ensure(l, organisation, now)
+	if !req.Counted() {
+		req.SetCounted(true)
+		row.SetDemand(demand(row, now) + 1/demandTime.Seconds())
+		row.SetCountedAt(now)
+	}
+	markShort(l, row, organisation.Name())
+	if until := takeOne(row, now); until > 0 {
+		req.SetTokenUntil(until)
+		return true
+	}
+	if waited := now - req.ArrivedAt(); now < row.DeniedUntil() || waited >= maxWait {
+		refuse(l, id, req, row, organisation, now)
+		return false
+	}
+	row.SetWaiting(append(row.Waiting(), id))
+	l.WakeAt(req.ArrivedAt()+maxWait, timers.Recheck, id)
+	return false
+}
+
+// ensure returns the row of an organisation.
+func ensure(l *loop.Loop, organisation *lagoon.Organisation, now time.Duration) *usage.Row {
+	row, ok := l.Usage().Find(organisation.Name())
+	if !ok {
+		evict(l, now)
+		row = l.Usage().Ensure(organisation.Name())
+	}
+	row.SetRate(organisation.RatePerSecond())
+	row.SetBurst(organisation.Burst())
+	return row
+}
+
+// evict removes idle rows, a few for each row that is added, so that their number stays in
+// proportion to the organisations in use.
+func evict(l *loop.Loop, now time.Duration) {
+	const scanned = 4
+	for range min(scanned, l.Usage().Len()) {
+		i := int(l.RandomFloat() * float64(l.Usage().Len()))
+		row := l.Usage().At(min(i, l.Usage().Len()-1))
+		if now-row.CountedAt() >= idleTime && !row.Short() && len(row.Waiting()) == 0 {
+			l.Usage().Remove(l.Usage().ID(min(i, l.Usage().Len()-1)))
+		}
+	}
+}
+
+// markShort lists an organisation as one that may need tokens.
+func markShort(l *loop.Loop, row *usage.Row, name string) {
+	if !row.Short() {
+		row.SetShort(true)
+		l.SetShortOfTokens(append(l.ShortOfTokens(), name))
+	}
+}
+
+// refuse answers that the quota is used up.
+func refuse(l *loop.Loop, id lagoon.RowID, req *reqs.Row, row *usage.Row, organisation *lagoon.Organisation, now time.Duration) {
+	wait := max(row.RetryAt()-now, minRetryAfter)
+	wait += time.Duration(l.RandomFloat() * float64(max(wait, retryAfterSpan)))
+	var r lagoon.Response
+	r.SetOutcome(lagoon.RequestOverQuota)
+	r.SetRetryAfter(wait)
+	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, %.1f requests per second here",
+		organisation.RatePerSecond(), organisation.Burst(), (now - req.ArrivedAt()).Round(time.Millisecond), demand(row, now)))
+	req.SetResponse(r)
+	req.SetDecided(true)
+	l.MarkDecided(id)
+}
+
+// Renew reports whether an attempt of a request may be started. A request that waited for longer
+// than its token was valid, without having reached a server, needs another one.
+func Renew(l *loop.Loop, req *reqs.Row, now time.Duration) bool {
+	if req.TokenUntil() == 0 || now < req.TokenUntil() || req.Reached() {
+		return true
+	}
+	for _, id := range req.Shards() {
+		if shard, ok := l.Shards().Resolve(id); ok && shard.Inflight() > 0 {
+			return true
+		}
+	}
+	row, ok := l.Usage().Find(req.Organisation())
+	if !ok {
+		return false
+	}
+	if until := takeOne(row, now); until > 0 {
+		req.SetTokenUntil(until)
+		req.SetSentAt(0)
+		return true
+	}
+	markShort(l, row, req.Organisation())
+	return false
+}
+
+// SendBefore returns the time before which an attempt that is started now must be sent, or 0. The
+// first attempts must be sent while the request's token is valid.
+func SendBefore(req *reqs.Row, now time.Duration) time.Duration {
+	if req.TokenUntil() == 0 {
+		return 0
+	}
+	if req.SentAt() == 0 {
+		req.SetSentAt(now)
+	}
+	if req.SentAt() != now || req.Reached() {
+		return 0
+	}
+	return req.TokenUntil()
+}
+
+// Return returns the token of a request that ends without having been sent.
+func Return(l *loop.Loop, req *reqs.Row, now time.Duration) {
+	if req.TokenUntil() <= now || req.SentAt() > 0 {
+		return
+	}
+	if row, ok := l.Usage().Find(req.Organisation()); ok {
+		var tokens usage.Tokens
+		tokens.SetCount(1)
+		tokens.SetUntil(req.TokenUntil())
+		row.SetBatches(append([]usage.Tokens{tokens}, row.Batches()...))
+	}
+}
--- a/internal/direct/trfc/reply/reply.go
+++ b/internal/direct/trfc/reply/reply.go
@@ -21,6 +21,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
 
@@ -47,6 +48,7 @@
 		if !ok {
 			continue
 		}
+		quota.Return(l, req, now)
 		recordResponse(l, req, now)
 		req.ResponseChan() <- req.Response()
 		cancelAttempts(l, req, now)
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -29,6 +29,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
@@ -190,6 +191,8 @@
 	switch {
 	case c.Found() && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
+	case c.Found() && !quota.Renew(l, req, now):
+		l.Enqueue(id)
 	case c.Found() && takeToken(l, shard):
 		start(l, id, shard, req, replica, now)
 	case c.Found() && now-req.CallerStart() >= req.Route().Objective() && sufficientWithout(shard, req):
@@ -290,9 +293,17 @@
 	a.SetTimeout(req.Deadline() - now)
 	a.SetRecentConnOnly(!req.Route().Idempotent())
 	a.SetCloseConn(choose.ConnectionShare(l, r.Service()) < 1)
-	a.SetSendBefore(leave.LastUse(l, &r, now))
+	a.SetSendBefore(earlier(leave.LastUse(l, &r, now), quota.SendBefore(req, now)))
 	a.SetPayload(request.Payload())
 	a.SetOrganisation(req.Organisation())
 	a.SetIdentified(req.View().Identified() || l.View().Identified()) // a key is not forwarded once the node knows that it is one
 	l.StartAttempt(id, attempt, a)
 }
+
+// earlier returns the earlier of two times, of which 0 means none.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
--- a/internal/direct/trfc/trfc.go
+++ b/internal/direct/trfc/trfc.go
@@ -14,6 +14,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/reply"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/result"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/sched"
@@ -27,6 +28,7 @@
 		pause.System{},
 		result.System{},
 		admit.System{},
+		quota.System{},
 		stops.System{},
 		hedge.System{},
 		&sched.System{},
--- a/internal/direct/view/view.go
+++ b/internal/direct/view/view.go
@@ -59,6 +59,14 @@
 // FindOrganisation returns the organisation that holds a key, or nil.
 func (v *View) FindOrganisation(key string) *lagoon.Organisation { return v.organisations.Find(key) }
 
+// OrganisationNamed returns the organisation with a name, or nil.
+func (v *View) OrganisationNamed(name string) *lagoon.Organisation {
+	if name == "" {
+		return nil
+	}
+	return v.organisations.Named(name)
+}
+
 // ServersOf returns the usable servers of a service.
 func (v *View) ServersOf(service string) []lagoon.Replica { return v.serversByService[service] }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -384,6 +384,29 @@
 	return v
 }
 
+// quotaBoundsForm is the wire form of lagoon.QuotaBounds.
+type quotaBoundsForm struct {
+	Window  time.Duration `cbor:"1,keyasint,omitempty" json:"window,omitempty"`
+	Overage float64       `cbor:"2,keyasint,omitempty" json:"overage,omitempty"`
+	Slack   float64       `cbor:"3,keyasint,omitempty" json:"slack,omitempty"`
+}
+
+func toQuotaBounds(v lagoon.QuotaBounds) quotaBoundsForm {
+	return quotaBoundsForm{
+		Window:  v.Window(),
+		Overage: v.Overage(),
+		Slack:   v.Slack(),
+	}
+}
+
+func fromQuotaBounds(m quotaBoundsForm) lagoon.QuotaBounds {
+	var v lagoon.QuotaBounds
+	v.SetWindow(m.Window)
+	v.SetOverage(m.Overage)
+	v.SetSlack(m.Slack)
+	return v
+}
+
 // serverStatusForm is the wire form of lagoon.ServerStatus.
 type serverStatusForm struct {
 	Server           string            `cbor:"1,keyasint,omitempty" json:"server,omitempty"`
@@ -455,6 +478,7 @@
 	RosterAdded      []string           `cbor:"20,keyasint,omitempty" json:"live,omitempty"`
 	RosterRemoved    []string           `cbor:"21,keyasint,omitempty" json:"gone,omitempty"`
 	RosterAcked      uint64             `cbor:"22,keyasint,omitempty" json:"holds,omitempty"`
+	Granter          string             `cbor:"23,keyasint,omitempty" json:"granter,omitempty"`
 }
 
 func toHeartbeat(v lagoon.Heartbeat) heartbeatForm {
@@ -481,6 +505,7 @@
 		RosterAdded:      v.RosterAdded(),
 		RosterRemoved:    v.RosterRemoved(),
 		RosterAcked:      v.RosterAcked(),
+		Granter:          v.Granter(),
 	}
 }
 
@@ -508,6 +533,7 @@
 	v.SetRosterAdded(m.RosterAdded)
 	v.SetRosterRemoved(m.RosterRemoved)
 	v.SetRosterAcked(m.RosterAcked)
+	v.SetGranter(m.Granter)
 	return v
 }
 
@@ -861,6 +887,104 @@
 	return v
 }
 
+// quotaWantForm is the wire form of lagoon.QuotaWant.
+type quotaWantForm struct {
+	Organisation  string  `cbor:"1,keyasint,omitempty" json:"organisation,omitempty"`
+	Tokens        int     `cbor:"2,keyasint,omitempty" json:"tokens,omitempty"`
+	RatePerSecond float64 `cbor:"3,keyasint,omitempty" json:"rate,omitempty"`
+	Burst         float64 `cbor:"4,keyasint,omitempty" json:"burst,omitempty"`
+}
+
+func toQuotaWant(v lagoon.QuotaWant) quotaWantForm {
+	return quotaWantForm{
+		Organisation:  v.Organisation(),
+		Tokens:        v.Tokens(),
+		RatePerSecond: v.RatePerSecond(),
+		Burst:         v.Burst(),
+	}
+}
+
+func fromQuotaWant(m quotaWantForm) lagoon.QuotaWant {
+	var v lagoon.QuotaWant
+	v.SetOrganisation(m.Organisation)
+	v.SetTokens(m.Tokens)
+	v.SetRatePerSecond(m.RatePerSecond)
+	v.SetBurst(m.Burst)
+	return v
+}
+
+// quotaRequestForm is the wire form of lagoon.QuotaRequest.
+type quotaRequestForm struct {
+	From  string          `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	Sent  time.Duration   `cbor:"2,keyasint,omitempty" json:"sent,omitempty"`
+	Wants []quotaWantForm `cbor:"3,keyasint,omitempty" json:"wants,omitempty"`
+}
+
+func toQuotaRequest(v lagoon.QuotaRequest) quotaRequestForm {
+	return quotaRequestForm{
+		From:  v.From(),
+		Sent:  v.Sent(),
+		Wants: each(v.Wants(), toQuotaWant),
+	}
+}
+
+func fromQuotaRequest(m quotaRequestForm) lagoon.QuotaRequest {
+	var v lagoon.QuotaRequest
+	v.SetFrom(m.From)
+	v.SetSent(m.Sent)
+	v.SetWants(each(m.Wants, fromQuotaWant))
+	return v
+}
+
+// quotaShareForm is the wire form of lagoon.QuotaShare.
+type quotaShareForm struct {
+	Organisation string        `cbor:"1,keyasint,omitempty" json:"organisation,omitempty"`
+	Tokens       int           `cbor:"2,keyasint,omitempty" json:"tokens,omitempty"`
+	RetryAfter   time.Duration `cbor:"3,keyasint,omitempty" json:"retry_after,omitempty"`
+}
+
+func toQuotaShare(v lagoon.QuotaShare) quotaShareForm {
+	return quotaShareForm{
+		Organisation: v.Organisation(),
+		Tokens:       v.Tokens(),
+		RetryAfter:   v.RetryAfter(),
+	}
+}
+
+func fromQuotaShare(m quotaShareForm) lagoon.QuotaShare {
+	var v lagoon.QuotaShare
+	v.SetOrganisation(m.Organisation)
+	v.SetTokens(m.Tokens)
+	v.SetRetryAfter(m.RetryAfter)
+	return v
+}
+
+// quotaGrantForm is the wire form of lagoon.QuotaGrant.
+type quotaGrantForm struct {
+	From     string           `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	Sent     time.Duration    `cbor:"2,keyasint,omitempty" json:"sent,omitempty"`
+	ValidFor time.Duration    `cbor:"3,keyasint,omitempty" json:"valid,omitempty"`
+	Shares   []quotaShareForm `cbor:"4,keyasint,omitempty" json:"shares,omitempty"`
+}
+
+func toQuotaGrant(v lagoon.QuotaGrant) quotaGrantForm {
+	return quotaGrantForm{
+		From:     v.From(),
+		Sent:     v.Sent(),
+		ValidFor: v.ValidFor(),
+		Shares:   each(v.Shares(), toQuotaShare),
+	}
+}
+
+func fromQuotaGrant(m quotaGrantForm) lagoon.QuotaGrant {
+	var v lagoon.QuotaGrant
+	v.SetFrom(m.From)
+	v.SetSent(m.Sent)
+	v.SetValidFor(m.ValidFor)
+	v.SetShares(each(m.Shares, fromQuotaShare))
+	return v
+}
+
 // objectForm is the wire form of lagoon.Object.
 type objectForm struct {
 	Key     string `cbor:"1,keyasint,omitempty" json:"key,omitempty"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,6 +68,8 @@
 	kindClaimRequest
 	kindClaimResponse
 	kindRegistryPush
+	kindQuotaRequest
+	kindQuotaGrant
 )
 
 var decoder = func() cbor.DecMode {
@@ -116,6 +118,10 @@
 		return kindClaimResponse, toClaimResponse(*m)
 	case *lagoon.RegistryPush:
 		return kindRegistryPush, toRegistryPush(*m)
+	case *lagoon.QuotaRequest:
+		return kindQuotaRequest, toQuotaRequest(*m)
+	case *lagoon.QuotaGrant:
+		return kindQuotaGrant, toQuotaGrant(*m)
 	}
 	return 0, nil
 }
@@ -153,6 +159,10 @@
 			push.SetLacksOrganisations(e.Version < minOrganisationsVersion)
 		}
 		return m, err
+	case kindQuotaRequest:
+		return decodeBody(e.Body, fromQuotaRequest)
+	case kindQuotaGrant:
+		return decodeBody(e.Body, fromQuotaGrant)
 	}
 	return nil, errors.Errorf("decode message: unknown kind %d in protocol version %d", e.Kind, e.Version)
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -36,7 +36,20 @@
 	var cfg lagoon.Config
 	cfg.SetRevision(4)
 	push.SetConfig(cfg)
-	for _, want := range []lagoon.Message{testBatch(), heartbeat, push, &lagoon.PlacementPush{}, &lagoon.ShardResponseBatch{}, &lagoon.ShardRequestCancel{}, &lagoon.ClaimRequest{}, &lagoon.ClaimResponse{}} {
+	var wanted lagoon.QuotaWant
+	wanted.SetOrganisation("wire")
+	wanted.SetTokens(3)
+	wanted.SetRatePerSecond(7.5)
+	quotaRequest := &lagoon.QuotaRequest{}
+	quotaRequest.SetFrom("entry-1")
+	quotaRequest.SetWants([]lagoon.QuotaWant{wanted})
+	var granted lagoon.QuotaShare
+	granted.SetOrganisation("wire")
+	granted.SetRetryAfter(time.Second)
+	quotaGrant := &lagoon.QuotaGrant{}
+	quotaGrant.SetValidFor(250 * time.Millisecond)
+	quotaGrant.SetShares([]lagoon.QuotaShare{granted})
+	for _, want := range []lagoon.Message{testBatch(), heartbeat, push, &lagoon.PlacementPush{}, &lagoon.ShardResponseBatch{}, &lagoon.ShardRequestCancel{}, &lagoon.ClaimRequest{}, &lagoon.ClaimResponse{}, quotaRequest, quotaGrant} {
 		data, err := wire.Codec{}.Encode(want)
 		if err != nil {
 			t.Fatal(err)
--- a/messages.go
+++ b/messages.go
@@ -43,6 +43,7 @@
 	rosterAdded      []string       // the names of nodes added to the roster, or of all nodes in it; json:"live"
 	rosterRemoved    []string       // the names of nodes removed from the roster; json:"gone"
 	rosterAcked      uint64         // the version of the recipient's roster that the sender has; json:"holds"
+	granter          string         // the name of the node that grants quota tokens to the sender, itself if no hub does; empty from earlier releases
 }
 
 // TopicState is a hub's state of one registry topic.
@@ -159,3 +160,35 @@
 	horizonMilli int64   // the creation time at or before which IDs are expired, in Unix milliseconds
 	claims       []Claim // the claims that have not expired
 }
+
+// QuotaWant is the number of tokens that a node needs for one organisation. The quota is the
+// one that the sender knows, as the recipient may have another version of the catalog.
+type QuotaWant struct {
+	organisation  string  // the organisation name
+	tokens        int     // the number of tokens wanted
+	ratePerSecond float64 // the organisation's quota, in requests per second; json:"rate"
+	burst         float64 // the organisation's burst, in requests
+}
+
+// QuotaRequest asks a granter for quota tokens.
+type QuotaRequest struct {
+	from  string        // the name of the sender
+	sent  time.Duration // the send time on the sender's monotonic clock
+	wants []QuotaWant   // the tokens wanted, for each organisation that needs some
+}
+
+// QuotaShare is the number of tokens that a granter granted for one organisation.
+type QuotaShare struct {
+	organisation string        // the organisation name
+	tokens       int           // the number of tokens granted
+	retryAfter   time.Duration // if fewer tokens than wanted were granted, the time after which there should be more
+}
+
+// QuotaGrant answers a QuotaRequest. The tokens are valid from the time at which the request was
+// sent, on the recipient's clock, so that a late answer does not extend their use.
+type QuotaGrant struct {
+	from     string        // the name of the granter
+	sent     time.Duration // the send time of the request
+	validFor time.Duration // the time after which the tokens expire, counted from the send time of the request; json:"valid"
+	shares   []QuotaShare  // the tokens granted, for each organisation of the request
+}
