Divide quotas by shares that hubs assign

Cause: a hub computed its weight from the present request rates of the nodes that it hears and the last known rates of the others. A request that arrived while its node stood still for 100 ms was refused without asking for a token, and one whose token expired while it waited was never renewed.

Change: hubs assign each node its share of the traffic with their heartbeats. The nodes that a hub does not hear keep their shares, and the others divide what is left by their present rates. A new hub, which does not know the shares of nodes that it never heard, adds up those that the others report. Requests wait from the time at which they were first handled. A request whose token has expired asks for another one, and is refused if there is none.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -916,6 +916,18 @@
 // SetGranter sets the name of the node that grants quota tokens to the sender, itself if no hub does; empty from earlier releases.
 func (v *Heartbeat) SetGranter(x string) { v.granter = x }
 
+// TrafficShare returns the sender's share of all request traffic, as a hub last assigned it; 0 if none did.
+func (v Heartbeat) TrafficShare() float64 { return v.trafficShare }
+
+// SetTrafficShare sets the sender's share of all request traffic, as a hub last assigned it; 0 if none did.
+func (v *Heartbeat) SetTrafficShare(x float64) { v.trafficShare = x }
+
+// AssignedShare returns the recipient's share of all request traffic, from a hub; 0 if it is not known.
+func (v Heartbeat) AssignedShare() float64 { return v.assignedShare }
+
+// SetAssignedShare sets the recipient's share of all request traffic, from a hub; 0 if it is not known.
+func (v *Heartbeat) SetAssignedShare(x float64) { v.assignedShare = x }
+
 // Topic returns the topic.
 func (v TopicState) Topic() Topic { return v.topic }
 
--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -105,6 +105,7 @@
 	row.SetRequestRate(m.RequestRate())
 	row.SetTotalRequestRate(m.TotalRequestRate())
 	row.SetGranter(m.Granter())
+	row.SetTrafficShare(m.TrafficShare())
 	applyRoster(row, m, now)
 	if m.Hub() {
 		applyHubState(s, m, now)
@@ -253,6 +254,7 @@
 	heartbeat.SetCallsFailingFor(callsFailingFor(s, now))
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
 	heartbeat.SetGranter(s.Ledger().Granter())
+	heartbeat.SetTrafficShare(s.Ledger().Share())
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
@@ -278,6 +280,9 @@
 // roster, as its version is not known. live is the content of the roster.
 func heartbeatFor(s *state.State, row *peers.Row, heartbeat lagoon.Heartbeat, live []string, now time.Duration) *lagoon.Heartbeat {
 	heartbeat.SetRosterAcked(row.RosterVersion())
+	if s.Hub() {
+		heartbeat.SetAssignedShare(row.AssignedShare())
+	}
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/grant/grant.go
+++ b/internal/direct/ctrl/grant/grant.go
@@ -40,6 +40,7 @@
 
 // Run handles the answers and requests received in this tick.
 func (System) Run(s *state.State, now time.Duration) {
+	receiveShares(s)
 	advance(s, now)
 	for _, m := range s.QuotaGrants() {
 		receive(s, m)
--- a/internal/direct/ctrl/grant/ledger.go
+++ b/internal/direct/ctrl/grant/ledger.go
@@ -5,7 +5,6 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/bucket"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/pkg/subset"
 )
@@ -33,16 +32,10 @@
 
 // Times of weights.
 const (
-	pauseLimit   = time.Second            // between two ticks, after which this node has paused and others may have granted in its place
-	rememberTime = time.Minute            // for which the traffic of a node that is not heard counts; it may be running beyond a broken link
-	newHubTime   = 2 * time.Second        // for which a new hub has not heard all nodes yet; spans several heartbeats
-	minWeighing  = 5 * time.Millisecond   // between two computations of the weight, which go over all nodes
-	forgetStop   = 5 * time.Second        // for which the traffic of a node that stops counts after its last heartbeat
-	trimStep     = 0.02                   // the relative fall of the weight at which all buckets are limited anew
-	priorRate    = 0.1                    // requests per second of a node that callers are referred to, before rates are known
-	smallPrior   = 0.01 * priorRate       // of any other node
-	startingTime = 20 * time.Second       // for which an announced node counts that was not heard yet
-	weighTime    = state.TickInterval - 1 // between two computations if nothing has happened
+	pauseLimit  = time.Second            // between two ticks, after which this node has paused and others may have granted in its place
+	minWeighing = 5 * time.Millisecond   // between two computations of the weight, which go over all nodes
+	trimStep    = 0.02                   // the relative fall of the weight at which all buckets are limited anew
+	weighTime   = state.TickInterval - 1 // between two computations if nothing has happened
 )
 
 // bounds returns the bounds with defaults for those that are not set.
@@ -89,7 +82,6 @@
 	}
 	l.SetWeighedAt(now)
 	l.SetWeightDue(false)
-	updateShare(s, now)
 	weight := weigh(s, now)
 	if weight == 0 && l.Weight() > 0 {
 		reset(s)
@@ -111,7 +103,7 @@
 // keep theirs, so that none gets the reserve twice.
 func reset(s *state.State) {
 	l := s.Ledger()
-	if l.SharedAt() == 0 && l.Weight() == 0 {
+	if l.Share() == 0 && l.Weight() == 0 {
 		return
 	}
 	for s.Buckets().Len() > 0 {
@@ -138,74 +130,6 @@
 	return max(1, s.Ledger().Weight()*(max(burst, rate*minBurst.Seconds())+headroomShare*slack))
 }
 
-// updateShare updates this node's share of all traffic while it hears a hub.
-func updateShare(s *state.State, now time.Duration) {
-	total := 0.0
-	if s.Hub() {
-		total = s.RequestRate()
-		for i := range s.Peers().Len() {
-			if row := s.Peers().At(i); now-row.HeartbeatAt() < heardTimeout {
-				total += row.RequestRate()
-			}
-		}
-	} else {
-		for _, row := range beats.LiveHubs(s, now) {
-			if now-row.HeartbeatAt() < heardTimeout {
-				total = max(total, row.TotalRequestRate())
-			}
-		}
-	}
-	if total > 0 && s.RequestRate() > 0 {
-		s.Ledger().SetShare(min(s.RequestRate()/total, 1))
-		s.Ledger().SetSharedAt(now)
-	}
-}
-
-// weigh returns the weight of this node as a granter.
-func weigh(s *state.State, now time.Duration) float64 {
-	l, self := s.Ledger(), s.Self()
-	if l.Granter() == self.Name() && !s.Hub() {
-		return l.Share()
-	}
-	if !s.Hub() {
-		l.SetHubSince(0)
-	} else if l.HubSince() == 0 {
-		l.SetHubSince(now)
-	}
-	largest := self.Cores()
-	for i := range s.Peers().Len() {
-		largest = max(largest, s.Peers().At(i).Member().Cores())
-	}
-	traffic := func(m lagoon.Member, rate float64) float64 {
-		if subset.Large(m.Cores(), largest) {
-			return rate + priorRate
-		}
-		return rate + smallPrior
-	}
-	own := traffic(self, s.RequestRate())
-	named, all, reported := 0.0, own, 0.0
-	if l.Granter() == self.Name() {
-		named = own
-	}
-	for i := range s.Peers().Len() {
-		row := s.Peers().At(i)
-		heardAt := max(row.HeartbeatAt(), row.AskedAt())
-		switch silence := now - heardAt; {
-		case heardAt == 0 && now-row.KnownAt() >= startingTime:
-			continue
-		case heardAt > 0 && (silence >= rememberTime || (row.Stopping() && silence >= forgetStop)):
-			continue
-		case heardAt > 0 && silence < heardTimeout && row.Granter() == self.Name():
-			named += traffic(row.Member(), row.RequestRate())
-		}
-		all += traffic(row.Member(), row.RequestRate())
-		if now-row.HeartbeatAt() >= beats.HubTimeout || l.HubSince() == 0 || now-l.HubSince() < newHubTime {
-			reported = max(reported, row.TotalRequestRate())
-		}
-	}
-	return named / max(all, reported)
-}
-
 // serve takes the wanted tokens from the buckets.
 func serve(s *state.State, m *lagoon.QuotaRequest) *lagoon.QuotaGrant {
 	out := newGrant(s, m)
@@ -280,14 +204,11 @@
 // reserve is divided by their number.
 func reserve(s *state.State) float64 {
 	l := s.Ledger()
-	if l.SharedAt() > 0 || s.Hub() || l.Granter() != s.Self().Name() {
+	if l.Share() > 0 || s.Hub() || l.Granter() != s.Self().Name() {
 		return 0
 	}
 	_, _, slack := bounds(s)
-	nodes, largest := 1.0, s.Self().Cores()
-	for i := range s.Peers().Len() {
-		largest = max(largest, s.Peers().At(i).Member().Cores())
-	}
+	nodes, largest := 1.0, largestNode(s)
 	for i := range s.Peers().Len() {
 		if subset.Large(s.Peers().At(i).Member().Cores(), largest) {
 			nodes++
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -153,3 +153,55 @@
 		}
 	}
 }
+
+// TestQuotaOfBurstsWhenNodesAreCutOff guards against a burst that is spent at two granters: the
+// organisations were idle, so that their buckets are full, and send when links break and when they
+// are mended. Large rates without a burst leave the least slack for what overlaps.
+func TestQuotaOfBurstsWhenNodesAreCutOff(t *testing.T) {
+	for _, after := range []time.Duration{-time.Second, -200 * time.Millisecond, 0, 300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			c := newCrowd(t, 24, 12, 12, 1200)
+			for i, o := range c.orgs {
+				o.usual, o.rate, o.burst = 5, []float64{400, 100, 20, 1}[i%4], 0
+				if i >= 4 {
+					o.burst = 5 * o.rate
+				}
+				if i >= 8 {
+					o.factor = 0
+				}
+			}
+			c.declare()
+			hot := func() {
+				for _, o := range c.orgs {
+					o.factor = max(3*o.rate/o.usual, 2)
+				}
+			}
+			c.run(9 * time.Second)
+			if after < 0 {
+				hot()
+				c.run(-after)
+			}
+			out := map[string]bool{}
+			for i, n := range c.fronts {
+				if !n.control.Hub() && i%3 == 0 {
+					out[n.self.Name()] = true
+				}
+			}
+			c.dropMessage = func(from, to *node) bool { return out[from.self.Name()] != out[to.self.Name()] }
+			c.run(max(after, 0))
+			hot()
+			c.run(6 * time.Second)
+			c.checkBound("cut off")
+			for i, o := range c.orgs {
+				if i >= 8 {
+					o.factor = 0
+				}
+			}
+			c.run(9 * time.Second)
+			c.dropMessage = nil
+			hot()
+			c.run(6 * time.Second)
+			c.checkBound("connected again")
+		})
+	}
+}
--- a/internal/direct/ctrl/quota_test.go
+++ b/internal/direct/ctrl/quota_test.go
@@ -273,7 +273,7 @@
 			all += o.refused + len(o.sent)
 		}
 	}
-	return float64(refused) / float64(all)
+	return float64(refused) / float64(max(all, 1))
 }
 
 // mostInWindow returns the most requests of an organisation that reached servers in a window that
--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -40,17 +40,23 @@
 // SetLostAt sets when the first request that no granter answered was sent; 0 since an answer.
 func (v *Row) SetLostAt(x time.Duration) { v.lostAt = x }
 
-// Share returns this node's share of all request traffic while it last heard a hub.
+// Share returns this node's share of all request traffic, as a hub last assigned it; 0 if none did.
 func (v *Row) Share() float64 { return v.share }
 
-// SetShare sets this node's share of all request traffic while it last heard a hub.
+// SetShare sets this node's share of all request traffic, as a hub last assigned it; 0 if none did.
 func (v *Row) SetShare(x float64) { v.share = x }
 
-// SharedAt returns when the share was last known; 0 for never.
-func (v *Row) SharedAt() time.Duration { return v.sharedAt }
+// AssignedAt returns when this node, as a hub, last assigned shares.
+func (v *Row) AssignedAt() time.Duration { return v.assignedAt }
 
-// SetSharedAt sets when the share was last known; 0 for never.
-func (v *Row) SetSharedAt(x time.Duration) { v.sharedAt = x }
+// SetAssignedAt sets when this node, as a hub, last assigned shares.
+func (v *Row) SetAssignedAt(x time.Duration) { v.assignedAt = x }
+
+// HeardShare returns the share of all traffic of the nodes that this node hears, as a hub.
+func (v *Row) HeardShare() float64 { return v.heardShare }
+
+// SetHeardShare sets the share of all traffic of the nodes that this node hears, as a hub.
+func (v *Row) SetHeardShare(x float64) { v.heardShare = x }
 
 // HubSince returns since when this node is a hub; 0 if it is none.
 func (v *Row) HubSince() time.Duration { return v.hubSince }
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -19,8 +19,9 @@
 	unansweredAt time.Duration // when the oldest request without an answer was sent to the granter; 0 if there is none
 	askedAt      time.Duration // when the last request was sent to the granter
 	lostAt       time.Duration // when the first request that no granter answered was sent; 0 since an answer
-	share        float64       // this node's share of all request traffic while it last heard a hub
-	sharedAt     time.Duration // when the share was last known; 0 for never
+	share        float64       // this node's share of all request traffic, as a hub last assigned it; 0 if none did
+	assignedAt   time.Duration // when this node, as a hub, last assigned shares
+	heardShare   float64       // the share of all traffic of the nodes that this node hears, as a hub
 
 	hubSince time.Duration // since when this node is a hub; 0 if it is none
 
--- a/internal/direct/peers/accessors_gen.go
+++ b/internal/direct/peers/accessors_gen.go
@@ -136,3 +136,21 @@
 
 // SetAvoidUntil sets until when this node asks it for no quota tokens, because an answer is missing; 0 if none is.
 func (v *Row) SetAvoidUntil(x time.Duration) { v.avoidUntil = x }
+
+// TrafficShare returns its share of all request traffic, as it last reported it; 0 if it does not know one.
+func (v *Row) TrafficShare() float64 { return v.trafficShare }
+
+// SetTrafficShare sets its share of all request traffic, as it last reported it; 0 if it does not know one.
+func (v *Row) SetTrafficShare(x float64) { v.trafficShare = x }
+
+// AssignedShare returns its share of all request traffic, as this node assigns it as a hub.
+func (v *Row) AssignedShare() float64 { return v.assignedShare }
+
+// SetAssignedShare sets its share of all request traffic, as this node assigns it as a hub.
+func (v *Row) SetAssignedShare(x float64) { v.assignedShare = x }
+
+// AssignedAt returns when this share was last computed; 0 for never.
+func (v *Row) AssignedAt() time.Duration { return v.assignedAt }
+
+// SetAssignedAt sets when this share was last computed; 0 for never.
+func (v *Row) SetAssignedAt(x time.Duration) { v.assignedAt = x }
--- a/internal/direct/peers/peers.go
+++ b/internal/direct/peers/peers.go
@@ -38,4 +38,7 @@
 	granter          string          // the node that grants it quota tokens, as it last said; empty for a node of an earlier release
 	askedAt          time.Duration   // when it last asked this node for quota tokens; 0 for never
 	avoidUntil       time.Duration   // until when this node asks it for no quota tokens, because an answer is missing; 0 if none is
+	trafficShare     float64         // its share of all request traffic, as it last reported it; 0 if it does not know one
+	assignedShare    float64         // its share of all request traffic, as this node assigns it as a hub
+	assignedAt       time.Duration   // when this share was last computed; 0 for never
 }
--- a/internal/direct/reqs/accessors_gen.go
+++ b/internal/direct/reqs/accessors_gen.go
@@ -108,11 +108,11 @@
 // SetTokenUntil sets when the quota token of this request expires; 0 if it has none.
 func (v *Row) SetTokenUntil(x time.Duration) { v.tokenUntil = x }
 
-// Counted returns whether it was counted as demand of its organisation.
-func (v *Row) Counted() bool { return v.counted }
+// TokenSince returns when it first needed a quota token, and was counted as demand of its organisation; 0 before.
+func (v *Row) TokenSince() time.Duration { return v.tokenSince }
 
-// SetCounted sets whether it was counted as demand of its organisation.
-func (v *Row) SetCounted(x bool) { v.counted = x }
+// SetTokenSince sets when it first needed a quota token, and was counted as demand of its organisation; 0 before.
+func (v *Row) SetTokenSince(x time.Duration) { v.tokenSince = x }
 
 // SentAt returns when the first attempt was started; 0 before.
 func (v *Row) SentAt() time.Duration { return v.sentAt }
--- a/internal/direct/reqs/reqs.go
+++ b/internal/direct/reqs/reqs.go
@@ -36,7 +36,7 @@
 	organisation  string                 // the organisation of the caller; empty if the catalog declares none or the route is public
 	rank          int                    // the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest
 	tokenUntil    time.Duration          // when the quota token of this request expires; 0 if it has none
-	counted       bool                   // whether it was counted as demand of its organisation
+	tokenSince    time.Duration          // when it first needed a quota token, and was counted as demand of its organisation; 0 before
 	sentAt        time.Duration          // when the first attempt was started; 0 before
 	reached       bool                   // whether an attempt may have reached a server
 }
--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -19,8 +19,8 @@
 		return true
 	}
 	row := ensure(l, organisation, now)
-	if !req.Counted() {
-		req.SetCounted(true)
+	if req.TokenSince() == 0 {
+		req.SetTokenSince(now)
 		row.SetDemand(demand(row, now) + 1/demandTime.Seconds())
 		row.SetCountedAt(now)
 	}
@@ -29,12 +29,12 @@
 		req.SetTokenUntil(until)
 		return true
 	}
-	if waited := now - req.ArrivedAt(); now < row.DeniedUntil() || waited >= maxWait {
+	if waited := now - req.TokenSince(); now < row.DeniedUntil() || waited >= maxWait {
 		refuse(l, id, req, row, organisation, now)
 		return false
 	}
 	row.SetWaiting(append(row.Waiting(), id))
-	l.WakeAt(req.ArrivedAt()+maxWait, timers.Recheck, id)
+	l.WakeAt(req.TokenSince()+maxWait, timers.Recheck, id)
 	return false
 }
 
@@ -79,32 +79,41 @@
 	r.SetOutcome(lagoon.RequestOverQuota)
 	r.SetRetryAfter(wait)
 	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, %.1f requests per second here",
-		organisation.RatePerSecond(), organisation.Burst(), (now - req.ArrivedAt()).Round(time.Millisecond), demand(row, now)))
+		organisation.RatePerSecond(), organisation.Burst(), (now - req.TokenSince()).Round(time.Millisecond), demand(row, now)))
 	req.SetResponse(r)
 	req.SetDecided(true)
 	l.MarkDecided(id)
 }
 
 // Renew reports whether an attempt of a request may be started. A request that waited for longer
-// than its token was valid, without having reached a server, needs another one.
-func Renew(l *loop.Loop, req *reqs.Row, now time.Duration) bool {
+// than its token was valid, without having reached a server, needs another one. It is refused if
+// none is expected.
+func Renew(l *loop.Loop, id lagoon.RowID, req *reqs.Row, now time.Duration) bool {
 	if req.TokenUntil() == 0 || now < req.TokenUntil() || req.Reached() {
 		return true
 	}
-	for _, id := range req.Shards() {
-		if shard, ok := l.Shards().Resolve(id); ok && shard.Inflight() > 0 {
+	for _, shardID := range req.Shards() {
+		if shard, ok := l.Shards().Resolve(shardID); ok && shard.Inflight() > 0 {
 			return true
 		}
 	}
-	row, ok := l.Usage().Find(req.Organisation())
-	if !ok {
-		return false
+	organisation := req.View().OrganisationNamed(req.Organisation())
+	if organisation == nil {
+		return true
 	}
+	row := ensure(l, organisation, now)
 	if until := takeOne(row, now); until > 0 {
 		req.SetTokenUntil(until)
 		req.SetSentAt(0)
 		return true
 	}
+	if now < row.DeniedUntil() {
+		refuse(l, id, req, row, organisation, now)
+		return false
+	}
+	if len(row.Waiting()) == 0 {
+		row.SetWaiting(append(row.Waiting(), id))
+	}
 	markShort(l, row, req.Organisation())
 	return false
 }
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -191,7 +191,7 @@
 	switch {
 	case c.Found() && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
-	case c.Found() && !quota.Renew(l, req, now):
+	case c.Found() && !quota.Renew(l, shard.Request(), req, now):
 		l.Enqueue(id)
 	case c.Found() && takeToken(l, shard):
 		start(l, id, shard, req, replica, now)
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -479,6 +479,8 @@
 	RosterRemoved    []string           `cbor:"21,keyasint,omitempty" json:"gone,omitempty"`
 	RosterAcked      uint64             `cbor:"22,keyasint,omitempty" json:"holds,omitempty"`
 	Granter          string             `cbor:"23,keyasint,omitempty" json:"granter,omitempty"`
+	TrafficShare     float64            `cbor:"24,keyasint,omitempty" json:"traffic_share,omitempty"`
+	AssignedShare    float64            `cbor:"25,keyasint,omitempty" json:"assigned_share,omitempty"`
 }
 
 func toHeartbeat(v lagoon.Heartbeat) heartbeatForm {
@@ -506,6 +508,8 @@
 		RosterRemoved:    v.RosterRemoved(),
 		RosterAcked:      v.RosterAcked(),
 		Granter:          v.Granter(),
+		TrafficShare:     v.TrafficShare(),
+		AssignedShare:    v.AssignedShare(),
 	}
 }
 
@@ -534,6 +538,8 @@
 	v.SetRosterRemoved(m.RosterRemoved)
 	v.SetRosterAcked(m.RosterAcked)
 	v.SetGranter(m.Granter)
+	v.SetTrafficShare(m.TrafficShare)
+	v.SetAssignedShare(m.AssignedShare)
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -44,6 +44,8 @@
 	rosterRemoved    []string       // the names of nodes removed from the roster; json:"gone"
 	rosterAcked      uint64         // the version of the recipient's roster that the sender has; json:"holds"
 	granter          string         // the name of the node that grants quota tokens to the sender, itself if no hub does; empty from earlier releases
+	trafficShare     float64        // the sender's share of all request traffic, as a hub last assigned it; 0 if none did
+	assignedShare    float64        // the recipient's share of all request traffic, from a hub; 0 if it is not known
 }
 
 // TopicState is a hub's state of one registry topic.
