Replay loads of several nodes at servers whose speed changes

Cause: the choice of servers could be measured only with one node and servers of constant speed, so nothing showed what knowledge of costs and speeds is worth.

Change: the traffic simulation gets servers with a pace (pauses, intervals of slow work, log-normal work with one in a hundred five times as long), a delay between zones, and nodes that share the servers. An oracle sends each attempt to the server that would finish it first. Simulations without a pace run as before.

--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -1,10 +1,12 @@
 package trfc_test
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,6 +35,8 @@
 	pending       map[chan lagoon.Response]*request
 	completed     []*request
 	attempts      []lagoon.Attempt
+	zone          string // the node's availability zone; empty for zone a
+	oracle        bool   // whether attempts go to the server that would finish them first, whatever the node chose
 }
 
 // clock is virtual time with the events that are due later. Nodes that share servers share
@@ -42,11 +46,13 @@
 	events events
 	seq    int
 	sims   []*sim
+	far    time.Duration // the delay between zones, one way; 0 for 1 ms to each server and none back
 }
 
 // request is one request of the load and its response.
 type request struct {
 	id       string
+	path     string
 	started  time.Duration
 	elapsed  time.Duration
 	response lagoon.Response
@@ -76,6 +82,8 @@
 	otherServer  string          // the ID of the server that responds in its place; empty for none
 	failRate     float64         // the share of requests that it runs and answers with a failure
 	reply        any             // what it responds with; nil for a reply without a stamp
+	pace         *pace           // how its speed changes; nil for none
+	jobs         []*job          // what was sent to it and has not ended, if it has a pace
 }
 
 type job struct {
@@ -83,6 +91,9 @@
 	attempt  lagoon.RowID
 	server   *server // nil until the request has reached it
 	started  time.Duration
+	arrives  time.Duration // when the request reaches the server
+	ends     time.Duration // when the server will have run it; 0 before it has started
+	work     time.Duration // how long it takes at the usual speed, for a server with a pace
 	canceled bool
 	done     bool
 }
@@ -185,7 +196,7 @@
 		pools[name] = p
 	}
 	var self lagoon.Member
-	self.SetZone("a")
+	self.SetZone(cmp.Or(s.zone, "a"))
 	v.SetSelf(self)
 	v.SetServersByService(serversByService)
 	v.SetServerIDs(serverIDs)
@@ -223,14 +234,25 @@
 func (s *sim) submit() *request { return s.submitWithTimeout(0) }
 
 // submitWithTimeout submits a request with the timeout that its caller sends.
-func (s *sim) submitWithTimeout(timeout time.Duration) *request {
+func (s *sim) submitWithTimeout(timeout time.Duration) *request { return s.submitTo("/x", timeout) }
+
+// submitTo submits a request for a path.
+func (s *sim) submitTo(path string, timeout time.Duration) *request {
+	return s.submitPayload(path, timeout, nil)
+}
+
+// submitKind submits a request of a kind.
+func (s *sim) submitKind(k kind) *request { return s.submitPayload("/"+k.name+"/", k.timeout, k) }
+
+func (s *sim) submitPayload(path string, timeout time.Duration, payload any) *request {
 	reply := make(chan lagoon.Response, 1)
-	q := &request{id: fmt.Sprint("r", len(s.pending)+len(s.completed)), started: s.now}
+	q := &request{id: fmt.Sprint("r", len(s.pending)+len(s.completed)), path: path, started: s.now}
 	s.pending[reply] = q
 	var a lagoon.Request
 	a.SetID(q.id)
 	a.SetHost("desk")
-	a.SetPath("/x")
+	a.SetPath(path)
+	a.SetPayload(payload)
 	a.SetTimeout(timeout)
 	row := &reqs.Row{}
 	row.SetRequest(a)
@@ -306,8 +328,11 @@
 	replica := a.Replica()
 	srv := s.servers[replica.ID()]
 	j := &job{sim: s, attempt: id, started: s.now}
-	const networkDelay = time.Millisecond
-	s.schedule(networkDelay, func() {
+	if srv.pace != nil {
+		srv = s.place(j, srv, a)
+	}
+	there, _ := s.delays(srv)
+	s.schedule(there, func() {
 		if !srv.unreachable {
 			j.server = srv
 			srv.arrivals = append(srv.arrivals, s.now)
@@ -342,13 +367,17 @@
 	srv.busySlots++
 	srv.runs++
 	duration := time.Duration(float64(srv.meanTime) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
-	if srv.pausePeriod > 0 {
+	if srv.pace != nil {
+		j.ends = srv.pace.end(s.now, j.work)
+		duration = j.ends - s.now
+	} else if srv.pausePeriod > 0 {
 		if elapsed := (s.now + srv.pausePhase) % srv.pausePeriod; elapsed < srv.pauseLength {
 			duration += srv.pauseLength - elapsed
 		}
 	}
 	s.schedule(duration, func() {
 		srv.busySlots--
+		srv.jobs = slices.DeleteFunc(srv.jobs, func(other *job) bool { return other == j })
 		if srv.dropsReplies || s.rng.Float64() < srv.lossRate {
 			s.finish(j, lagoon.StatusUnknown)
 		} else if srv.failRate > 0 && s.rng.Float64() < srv.failRate {
@@ -368,10 +397,6 @@
 
 // finish reports the result of an attempt to the traffic loop, once.
 func (s *sim) finish(j *job, status lagoon.Status) {
-	if j.done {
-		return
-	}
-	j.done = true
 	var v lagoon.AttemptResult
 	v.SetStatus(status)
 	v.SetReply("answer")
@@ -386,8 +411,33 @@
 		v.SetPause(max(j.server.closedUntil-s.now, 0))
 		v.SetLeavingServer(j.server.otherServer)
 		v.SetAddressReused(j.server.otherServer != "")
+		if p := j.server.pace; p != nil && p.figures > 0 {
+			v.SetRunning(j.server.busySlots + 1) // with the request that it answers
+			v.SetSlowdown(p.reported(s.now))
+		}
+	}
+	deliver := func() {
+		if !j.done {
+			j.done = true
+			s.tick(loop.AttemptDone(j.attempt, v, s.now-j.started))
+		}
+	}
+	if _, back := s.delays(j.server); back > 0 && !j.canceled {
+		s.schedule(back, deliver)
+		return
+	}
+	deliver()
+}
+
+// delays returns the times that a request and its response take on the network.
+func (s *sim) delays(srv *server) (there, back time.Duration) {
+	switch {
+	case s.far == 0 || srv == nil:
+		return time.Millisecond, 0
+	case srv.replica.Zone() == s.zone:
+		return near, near
 	}
-	s.tick(loop.AttemptDone(j.attempt, v, s.now-j.started))
+	return s.far, s.far
 }
 
 // shareWithin returns the share of requests that were answered within a time, and
