Choose servers that report their speed by expected completion time

Cause: servers share their instances with others, so that equal requests take 2.5 times as long on some of them for half a second, and the score of the last latencies follows too late.

Change: pkg/cost learns the distribution of the work of requests by route and service (behind lagoon.CostModel). For services whose servers report a slowdown, the cost of a server is the expected wait for a slot and the expected work, times the slowdown, plus the round trip and the expected rest of a pause, with the risk factors as before. The work left is that of the attempts of this node by age, the reported requests of others decayed with the age of the report, and what the others usually send. Round-trip times are learned from connect times.

Servers that report three figures or none get the same attempts as before (TestServersWithoutSlowdownAreChosenAsBefore).

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -616,6 +616,90 @@
 // SetJitter sets a fresh random number, 0 to 1.
 func (v *ReplicaView) SetJitter(x float64) { v.jitter = x }
 
+// Slowdown returns how long work is expected to take on the server now, relative to its usual time; 0 if no server of the service reports it, and then the fields below are not set.
+func (v ReplicaView) Slowdown() float64 { return v.slowdown }
+
+// SetSlowdown sets how long work is expected to take on the server now, relative to its usual time; 0 if no server of the service reports it, and then the fields below are not set.
+func (v *ReplicaView) SetSlowdown(x float64) { v.slowdown = x }
+
+// WorkLeft returns the work left of the requests that the server has, at its usual speed.
+func (v ReplicaView) WorkLeft() time.Duration { return v.workLeft }
+
+// SetWorkLeft sets the work left of the requests that the server has, at its usual speed.
+func (v *ReplicaView) SetWorkLeft(x time.Duration) { v.workLeft = x }
+
+// BusyShare returns the probability that the server has no free slot, 0 to 1.
+func (v ReplicaView) BusyShare() float64 { return v.busyShare }
+
+// SetBusyShare sets the probability that the server has no free slot, 0 to 1.
+func (v *ReplicaView) SetBusyShare(x float64) { v.busyShare = x }
+
+// Work returns the expected work of the request, at the usual speed.
+func (v ReplicaView) Work() time.Duration { return v.work }
+
+// SetWork sets the expected work of the request, at the usual speed.
+func (v *ReplicaView) SetWork(x time.Duration) { v.work = x }
+
+// RoundTrip returns the round-trip time on the network.
+func (v ReplicaView) RoundTrip() time.Duration { return v.roundTrip }
+
+// SetRoundTrip sets the round-trip time on the network.
+func (v *ReplicaView) SetRoundTrip(x time.Duration) { v.roundTrip = x }
+
+// PausedShare returns the probability that the server pauses, 0 to 1.
+func (v ReplicaView) PausedShare() float64 { return v.pausedShare }
+
+// SetPausedShare sets the probability that the server pauses, 0 to 1.
+func (v *ReplicaView) SetPausedShare(x float64) { v.pausedShare = x }
+
+// TimeLeft returns the time left for a timely response; 0 if the request is late.
+func (v ReplicaView) TimeLeft() time.Duration { return v.timeLeft }
+
+// SetTimeLeft sets the time left for a timely response; 0 if the request is late.
+func (v *ReplicaView) SetTimeLeft(x time.Duration) { v.timeLeft = x }
+
+// Route returns the route's name.
+func (v CostKey) Route() string { return v.route }
+
+// SetRoute sets the route's name.
+func (v *CostKey) SetRoute(x string) { v.route = x }
+
+// Service returns the service's name.
+func (v CostKey) Service() string { return v.service }
+
+// SetService sets the service's name.
+func (v *CostKey) SetService(x string) { v.service = x }
+
+// Organisation returns the caller's organisation; empty for none.
+func (v CostKey) Organisation() string { return v.organisation }
+
+// SetOrganisation sets the caller's organisation; empty for none.
+func (v *CostKey) SetOrganisation(x string) { v.organisation = x }
+
+// Path returns the path of the request.
+func (v CostKey) Path() string { return v.path }
+
+// SetPath sets the path of the request.
+func (v *CostKey) SetPath(x string) { v.path = x }
+
+// Size returns the size of the request's body, in bytes.
+func (v CostKey) Size() int { return v.size }
+
+// SetSize sets the size of the request's body, in bytes.
+func (v *CostKey) SetSize(x int) { v.size = x }
+
+// Mean returns the mean; 0 if nothing is known.
+func (v Cost) Mean() time.Duration { return v.mean }
+
+// SetMean sets the mean; 0 if nothing is known.
+func (v *Cost) SetMean(x time.Duration) { v.mean = x }
+
+// Spread returns the standard deviation of the logarithm.
+func (v Cost) Spread() float64 { return v.spread }
+
+// SetSpread sets the standard deviation of the logarithm.
+func (v *Cost) SetSpread(x float64) { v.spread = x }
+
 // Server returns the server name.
 func (v ServerStatus) Server() string { return v.server }
 
--- a/direct.go
+++ b/direct.go
@@ -163,4 +163,28 @@
 	silence         float64 // the time since the last response while requests are in flight, relative to a typical response time
 	remaining       float64 // the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late
 	jitter          float64 // a fresh random number, 0 to 1; json:"noise"
+
+	slowdown    float64       // how long work is expected to take on the server now, relative to its usual time; 0 if no server of the service reports it, and then the fields below are not set
+	workLeft    time.Duration // the work left of the requests that the server has, at its usual speed
+	busyShare   float64       // the probability that the server has no free slot, 0 to 1
+	work        time.Duration // the expected work of the request, at the usual speed
+	roundTrip   time.Duration // the round-trip time on the network
+	pausedShare float64       // the probability that the server pauses, 0 to 1
+	timeLeft    time.Duration // the time left for a timely response; 0 if the request is late
+}
+
+// CostKey is what is known of an attempt before it is sent and may predict its work.
+type CostKey struct {
+	route        string // the route's name
+	service      string // the service's name
+	organisation string // the caller's organisation; empty for none
+	path         string // the path of the request
+	size         int    // the size of the request's body, in bytes
+}
+
+// Cost is the distribution of the work of a request: the time that it takes on a server of
+// usual speed without waiting. It is log-normal.
+type Cost struct {
+	mean   time.Duration // the mean; 0 if nothing is known
+	spread float64       // the standard deviation of the logarithm
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -180,3 +180,13 @@
 	// typical response time.
 	Delay(v ReplicaView) float64
 }
+
+// CostModel learns how much work requests are from the attempts that ended. It has a limited
+// number of keys and is used on one goroutine.
+type CostModel interface {
+	// Cost returns the distribution of the work of a request.
+	Cost(key CostKey, now time.Duration) Cost
+	// Observe adds the work of an attempt. If the attempt was cancelled, work is what was done of
+	// it until then, and complete is false.
+	Observe(key CostKey, work time.Duration, complete bool, now time.Duration)
+}
--- /dev/null
+++ b/internal/direct/flows/flows.go
@@ -0,0 +1,62 @@
+// Package flows holds how much work a node sends to each service.
+//
+// # Usage
+//
+//	row := table.Ensure("archive-desk-3")
+//	row.Add(cost.Mean(), now)
+//	perSecond := row.Rate(now)
+package flows
+
+import (
+	"math"
+	"time"
+)
+
+// decayTime is the time constant of the exponential decay of earlier attempts, the one within
+// which the cost model forgets.
+const decayTime = 5 * time.Second
+
+// Row is what a node sent to one service lately. The zero value is nothing.
+type Row struct {
+	count     float64 // of attempts, decayed
+	seconds   float64 // of their work, decayed
+	squares   float64 // of the seconds of work of each, decayed
+	updatedAt time.Duration
+	begunAt   time.Duration
+}
+
+// Add adds an attempt with its expected work.
+func (r *Row) Add(work, now time.Duration) {
+	if r.count == 0 {
+		r.begunAt, r.updatedAt = now, now
+	}
+	kept := math.Exp(-float64(now-r.updatedAt) / float64(decayTime))
+	s := work.Seconds()
+	r.count, r.seconds, r.squares, r.updatedAt = r.count*kept+1, r.seconds*kept+s, r.squares*kept+s*s, now
+}
+
+// Rate returns the number of attempts per second.
+func (r *Row) Rate(now time.Duration) float64 {
+	full := 1 - math.Exp(-float64(now-r.begunAt)/float64(decayTime))
+	if r.count == 0 || full <= 0 {
+		return 0
+	}
+	return r.count * math.Exp(-float64(now-r.updatedAt)/float64(decayTime)) / (full * decayTime.Seconds())
+}
+
+// Mean returns the mean work of an attempt.
+func (r *Row) Mean() time.Duration {
+	if r.count == 0 {
+		return 0
+	}
+	return time.Duration(r.seconds / r.count * float64(time.Second))
+}
+
+// Residual returns the mean work that is left of an attempt that a server runs at a random time.
+// It is more than half of Mean, because a server spends most of its time on costly requests.
+func (r *Row) Residual() time.Duration {
+	if r.seconds == 0 {
+		return 0
+	}
+	return time.Duration(r.squares / r.seconds / 2 * float64(time.Second))
+}
--- a/internal/direct/health/accessors_gen.go
+++ b/internal/direct/health/accessors_gen.go
@@ -81,3 +81,9 @@
 
 // SetAddressReusedStart sets the start time of the run at whose address another server responded, in Unix milliseconds.
 func (v *Row) SetAddressReusedStart(x int64) { v.addressReusedStart = x }
+
+// Slowdown returns how long work takes on the server, relative to its usual time, as last reported; 0 if it does not report that.
+func (v *Row) Slowdown() float64 { return v.slowdown }
+
+// SetSlowdown sets how long work takes on the server, relative to its usual time, as last reported; 0 if it does not report that.
+func (v *Row) SetSlowdown(x float64) { v.slowdown = x }
--- a/internal/direct/health/health.go
+++ b/internal/direct/health/health.go
@@ -10,7 +10,11 @@
 // announcement was removed.
 package health
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon/internal/direct/work"
+)
 
 //go:generate go run ../../accgen -dir . -rows
 
@@ -29,4 +33,10 @@
 	nextColdAttempt     time.Duration // the earliest time of the next attempt while the server is cold
 	startedMilli        int64         // the start time of the server run that the row describes, in Unix milliseconds
 	addressReusedStart  int64         // the start time of the run at whose address another server responded, in Unix milliseconds
+	slowdown            float64       // how long work takes on the server, relative to its usual time, as last reported; 0 if it does not report that
+
+	work work.List
 }
+
+// WorkRef returns the attempts in flight with their costs, to be modified in place.
+func (r *Row) WorkRef() *work.List { return &r.work }
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -106,6 +106,12 @@
 // SetView sets the view in force in this tick.
 func (v *Loop) SetView(x *view.View) { v.view = x }
 
+// CostModel returns the model of the work of requests; nil turns it off.
+func (v *Loop) CostModel() lagoon.CostModel { return v.costModel }
+
+// SetCostModel sets the model of the work of requests; nil turns it off.
+func (v *Loop) SetCostModel(x lagoon.CostModel) { v.costModel = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/flows"
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
@@ -31,6 +32,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/stats"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/internal/direct/trips"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/rows"
@@ -60,6 +62,7 @@
 	drainTime     time.Duration                                              // for which a server serves after it said that it leaves; 0 means the default
 	extraWindow   time.Duration                                              // the length of the window that ExtraSlack applies to
 	view          *view.View                                                 // the view in force in this tick
+	costModel     lagoon.CostModel                                           // the model of the work of requests; nil turns it off
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
@@ -78,6 +81,8 @@
 	pauses     rows.Table[pauses.Row]
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
+	flows      rows.Table[flows.Row]
+	trips      rows.Table[trips.Row]
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -139,6 +144,12 @@
 // Budgets returns the table of retry budgets.
 func (l *Loop) Budgets() *rows.Table[tokens.Row] { return &l.budgets }
 
+// Flows returns the table of the work that this node sends to each service.
+func (l *Loop) Flows() *rows.Table[flows.Row] { return &l.flows }
+
+// Trips returns the table of the round-trip times to each availability zone.
+func (l *Loop) Trips() *rows.Table[trips.Row] { return &l.trips }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
+	"github.com/lagoontrail/lagoon/pkg/cost"
 	"github.com/lagoontrail/lagoon/pkg/cutoff"
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
@@ -149,6 +150,7 @@
 	n.traffic.SetPartialPolicy(cutoff.Policy{})
 	n.traffic.SetReplicaPolicy(score.Policy{})
 	n.traffic.SetRetryPolicy(retry.Policy{})
+	n.traffic.SetCostModel(cost.New())
 	n.traffic.SetExtraRatio(n.extraRatio)
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
--- a/internal/direct/trfc/bed_test.go
+++ b/internal/direct/trfc/bed_test.go
@@ -27,7 +27,7 @@
 	slowShare   float64
 	slowFactor  float64
 	interval    time.Duration
-	figures     int     // how many figures the server reports: 3, or 4 with the slowdown
+	figures     int     // how many figures the server reports: 0, 3, or 4 with the slowdown
 	claimed     float64 // the slowdown that the server reports in place of the real one; 0 for the real one
 }
 
--- a/internal/direct/trfc/choose/accessors_gen.go
+++ b/internal/direct/trfc/choose/accessors_gen.go
@@ -4,6 +4,7 @@
 
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/internal/direct/trfc/costs"
 
 // Replica returns the server, if one was found.
 func (v Choice) Replica() lagoon.Replica { return v.replica }
@@ -28,3 +29,15 @@
 
 // SetReturnsAt sets when the first pause ends of the servers that cannot be used only because they pause; 0 for none.
 func (v *Choice) SetReturnsAt(x time.Duration) { v.returnsAt = x }
+
+// Estimate returns what is expected of the server, if the cost model is in use for the service.
+func (v Choice) Estimate() costs.Estimate { return v.estimate }
+
+// SetEstimate sets what is expected of the server, if the cost model is in use for the service.
+func (v *Choice) SetEstimate(x costs.Estimate) { v.estimate = x }
+
+// Wait returns how long the server is expected to take until it begins the work, by the estimate.
+func (v Choice) Wait() time.Duration { return v.wait }
+
+// SetWait sets how long the server is expected to take until it begins the work, by the estimate.
+func (v *Choice) SetWait(x time.Duration) { v.wait = x }
--- a/internal/direct/trfc/choose/choose.go
+++ b/internal/direct/trfc/choose/choose.go
@@ -4,7 +4,7 @@
 //
 //	choice := choose.Best(l, shard, req, now)
 //	if choice.Found() { use(choice.Replica()) }
-//	delay, known := choose.Delay(l, req, &replica, now)
+//	delay, known := choose.Delay(l, shard, req, &replica, now)
 //
 // A server is chosen by its rank for the shard's request and then by the cost that the
 // replica policy gives it. The package also divides the limits that all nodes share: a
@@ -21,6 +21,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/costs"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
 )
@@ -54,6 +55,8 @@
 	found     bool           // whether a server was found
 	full      bool           // whether a server cannot be used only because it is full
 	returnsAt time.Duration  // when the first pause ends of the servers that cannot be used only because they pause; 0 for none
+	estimate  costs.Estimate // what is expected of the server, if the cost model is in use for the service
+	wait      time.Duration  // how long the server is expected to take until it begins the work, by the estimate
 }
 
 // Best chooses the best usable server.
@@ -62,6 +65,7 @@
 	servers := view.ServersOf(shard.Service())
 	self := view.Self()
 	var c Choice
+	modeled := costs.Known(l, servers)
 	lowestCost, bestRank := math.Inf(1), rankPaused
 	for i := range servers {
 		r := &servers[i]
@@ -79,9 +83,15 @@
 			c.full = c.full || rank < rankBackedOff
 			continue
 		}
-		cost := l.ReplicaPolicy().Cost(replicaView(l, req, r, h, self.Zone(), now))
+		v := replicaView(l, req, r, h, self.Zone(), now)
+		var e costs.Estimate
+		if modeled {
+			e = estimate(l, shard, req, r, h, &v, now)
+		}
+		cost := l.ReplicaPolicy().Cost(v)
 		if rank < bestRank || cost < lowestCost {
 			lowestCost, bestRank, c.replica, c.found = cost, rank, *r, true
+			c.estimate, c.wait = e, waitOf(l, v)
 		}
 	}
 	// It is better to wait for a server without capacity than to use one in backoff.
@@ -91,6 +101,25 @@
 	return c
 }
 
+// estimate returns what the cost model expects of a server, and sets it in the input of the
+// replica policy if the cost is known.
+func estimate(l *loop.Loop, shard *shards.Row, req *reqs.Row, r *lagoon.Replica, h *health.Row, v *lagoon.ReplicaView, now time.Duration) costs.Estimate {
+	e := costs.Of(l, shard, req, r, h, v.RelativeLatency(), now)
+	if e.Slowdown() > 0 {
+		e.SetView(v, max(req.CallerStart()+req.Route().Objective()-now, 0))
+	}
+	return e
+}
+
+// waitOf returns how long a server is expected to take until it begins the work of an attempt,
+// or 0 if the cost model is not in use.
+func waitOf(l *loop.Loop, v lagoon.ReplicaView) time.Duration {
+	if v.Slowdown() == 0 {
+		return 0
+	}
+	return time.Duration((l.ReplicaPolicy().Delay(v) - v.Slowdown()) * float64(v.Work()))
+}
+
 // rankOf returns a server's rank for an attempt. The route limits the number of
 // servers per shard; a server that refused the request or lost its response may be
 // retried. When no other server is left, one in backoff gets one attempt at a time,
@@ -132,8 +161,9 @@
 func HealthOf(l *loop.Loop, r *lagoon.Replica) *health.Row {
 	h := l.Health().Ensure(r.ID())
 	if h.StartedMilli() != r.StartedMilli() {
-		inflight := h.Inflight()
+		inflight, work := h.Inflight(), *h.WorkRef()
 		*h = health.Row{}
+		*h.WorkRef() = work
 		h.SetStartedMilli(r.StartedMilli())
 		h.SetInflight(inflight)
 	}
@@ -199,13 +229,18 @@
 
 // Delay returns the time in which a server is expected to respond, from the requests that
 // it has. known is false if the server has not reported its load recently.
-func Delay(l *loop.Loop, req *reqs.Row, r *lagoon.Replica, now time.Duration) (delay time.Duration, known bool) {
+func Delay(l *loop.Loop, shard *shards.Row, req *reqs.Row, r *lagoon.Replica, now time.Duration) (delay time.Duration, known bool) {
 	h := HealthOf(l, r)
 	if now-h.ReportedAt() > loadDecay {
 		return 0, false
 	}
 	self := l.View().Self()
 	mean := l.RouteStats().Ensure(req.Route().Name()).MeanLatency()
-	relative := l.ReplicaPolicy().Delay(replicaView(l, req, r, h, self.Zone(), now))
-	return time.Duration(relative * float64(mean)), true
+	v := replicaView(l, req, r, h, self.Zone(), now)
+	if costs.Known(l, l.View().ServersOf(shard.Service())) {
+		if e := estimate(l, shard, req, r, h, &v, now); e.Slowdown() > 0 {
+			mean = v.Work()
+		}
+	}
+	return time.Duration(l.ReplicaPolicy().Delay(v) * float64(mean)), true
 }
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -23,6 +23,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/loop"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/costs"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/stamps"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
@@ -77,6 +78,7 @@
 		}
 		stamps.Check(l, attempt)
 		recordHealth(l, attempt, now)
+		costs.Ended(l, id, attempt, now)
 		recordUnsolicited(l, attempt)
 		if !attempt.RequestDone() {
 			updateShard(l, attempt, now)
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -26,6 +26,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/admit"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/choose"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/costs"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
@@ -191,7 +192,7 @@
 	case c.Found() && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
 	case c.Found() && takeToken(l, shard):
-		start(l, id, shard, req, replica, now)
+		start(l, id, shard, req, c, now)
 	case c.Found() && now-req.CallerStart() >= req.Route().Objective() && sufficientWithout(shard, req):
 		dropAttempt(l, shard, req, "the retry budget is used up")
 	case c.Found() && !finish.MayRun(l, req) && !s.coveredSoon(l, shard, req, now):
@@ -221,7 +222,7 @@
 	if len(req.Route().Shards()) == 0 || !sufficientWithout(shard, req) {
 		return false
 	}
-	delay, known := choose.Delay(l, req, r, now)
+	delay, known := choose.Delay(l, shard, req, r, now)
 	if !known {
 		return false
 	}
@@ -245,7 +246,8 @@
 }
 
 // start records an attempt at a server and sends it.
-func start(l *loop.Loop, id lagoon.RowID, shard *shards.Row, req *reqs.Row, r lagoon.Replica, now time.Duration) {
+func start(l *loop.Loop, id lagoon.RowID, shard *shards.Row, req *reqs.Row, c choose.Choice, now time.Duration) {
+	r := c.Replica()
 	h := choose.HealthOf(l, &r)
 	if h.Inflight() == 0 {
 		h.SetSilentSince(now)
@@ -259,8 +261,11 @@
 	attempt.SetServer(r.ID())
 	attempt.SetStartedMilli(r.StartedMilli())
 	attempt.SetRoute(req.Route().Name())
+	attempt.SetZone(r.Zone())
 	attempt.SetSentAt(now)
 	attempt.SetParallel(shard.Inflight() > 0)
+	estimate := c.Estimate()
+	costs.Sent(l, attemptID, attempt, shard, req, &estimate, c.Wait(), h, now)
 	shard.SetAttemptPending(false)
 	shard.SetState(shards.Running)
 	shard.SetNeedsToken(false)
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -411,9 +411,15 @@
 		v.SetPause(max(j.server.closedUntil-s.now, 0))
 		v.SetLeavingServer(j.server.otherServer)
 		v.SetAddressReused(j.server.otherServer != "")
-		if p := j.server.pace; p != nil && p.figures > 0 {
+		if p := j.server.pace; p != nil {
 			v.SetRunning(j.server.busySlots + 1) // with the request that it answers
 			v.SetSlowdown(p.reported(s.now))
+			there, back := s.delays(j.server)
+			v.SetConnOpened(true)
+			v.SetConnectTime(there + back)
+			if p.figures == 0 {
+				v.SetSlots(0)
+			}
 		}
 	}
 	deliver := func() {
--- a/internal/direct/tries/accessors_gen.go
+++ b/internal/direct/tries/accessors_gen.go
@@ -89,3 +89,33 @@
 
 // SetRequestDone sets whether the request ended before the attempt.
 func (v *Row) SetRequestDone(x bool) { v.requestDone = x }
+
+// Zone returns the availability zone of the server.
+func (v *Row) Zone() string { return v.zone }
+
+// SetZone sets the availability zone of the server.
+func (v *Row) SetZone(x string) { v.zone = x }
+
+// CostKey returns the key of its cost, if the cost model is in use.
+func (v *Row) CostKey() lagoon.CostKey { return v.costKey }
+
+// SetCostKey sets the key of its cost, if the cost model is in use.
+func (v *Row) SetCostKey(x lagoon.CostKey) { v.costKey = x }
+
+// Cost returns the cost expected at its start.
+func (v *Row) Cost() lagoon.Cost { return v.cost }
+
+// SetCost sets the cost expected at its start.
+func (v *Row) SetCost(x lagoon.Cost) { v.cost = x }
+
+// Slowdown returns the slowdown of the server expected at its start; 0 if the server does not report it.
+func (v *Row) Slowdown() float64 { return v.slowdown }
+
+// SetSlowdown sets the slowdown of the server expected at its start; 0 if the server does not report it.
+func (v *Row) SetSlowdown(x float64) { v.slowdown = x }
+
+// Wait returns the time expected at its start until the server begins the work, and of the response on its way back.
+func (v *Row) Wait() time.Duration { return v.wait }
+
+// SetWait sets the time expected at its start until the server begins the work, and of the response on its way back.
+func (v *Row) SetWait(x time.Duration) { v.wait = x }
--- a/internal/direct/tries/tries.go
+++ b/internal/direct/tries/tries.go
@@ -34,4 +34,9 @@
 	result        lagoon.AttemptResult // the result, once the attempt has ended
 	elapsed       time.Duration        // the time from the start to the end
 	requestDone   bool                 // whether the request ended before the attempt
+	zone          string               // the availability zone of the server
+	costKey       lagoon.CostKey       // the key of its cost, if the cost model is in use
+	cost          lagoon.Cost          // the cost expected at its start
+	slowdown      float64              // the slowdown of the server expected at its start; 0 if the server does not report it
+	wait          time.Duration        // the time expected at its start until the server begins the work, and of the response on its way back
 }
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -295,17 +295,24 @@
 
 // replicaViewForm is the wire form of lagoon.ReplicaView.
 type replicaViewForm struct {
-	Slots           int     `cbor:"1,keyasint,omitempty" json:"slots,omitempty"`
-	Inflight        int     `cbor:"2,keyasint,omitempty" json:"inflight,omitempty"`
-	Queued          float64 `cbor:"3,keyasint,omitempty" json:"queued,omitempty"`
-	RelativeLatency float64 `cbor:"4,keyasint,omitempty" json:"slowness,omitempty"`
-	SameZone        bool    `cbor:"5,keyasint,omitempty" json:"same_zone,omitempty"`
-	Cold            bool    `cbor:"6,keyasint,omitempty" json:"cold,omitempty"`
-	Draining        bool    `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
-	FailureRate     float64 `cbor:"8,keyasint,omitempty" json:"faulty,omitempty"`
-	Silence         float64 `cbor:"9,keyasint,omitempty" json:"silence,omitempty"`
-	Remaining       float64 `cbor:"10,keyasint,omitempty" json:"remaining,omitempty"`
-	Jitter          float64 `cbor:"11,keyasint,omitempty" json:"noise,omitempty"`
+	Slots           int           `cbor:"1,keyasint,omitempty" json:"slots,omitempty"`
+	Inflight        int           `cbor:"2,keyasint,omitempty" json:"inflight,omitempty"`
+	Queued          float64       `cbor:"3,keyasint,omitempty" json:"queued,omitempty"`
+	RelativeLatency float64       `cbor:"4,keyasint,omitempty" json:"slowness,omitempty"`
+	SameZone        bool          `cbor:"5,keyasint,omitempty" json:"same_zone,omitempty"`
+	Cold            bool          `cbor:"6,keyasint,omitempty" json:"cold,omitempty"`
+	Draining        bool          `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
+	FailureRate     float64       `cbor:"8,keyasint,omitempty" json:"faulty,omitempty"`
+	Silence         float64       `cbor:"9,keyasint,omitempty" json:"silence,omitempty"`
+	Remaining       float64       `cbor:"10,keyasint,omitempty" json:"remaining,omitempty"`
+	Jitter          float64       `cbor:"11,keyasint,omitempty" json:"noise,omitempty"`
+	Slowdown        float64       `cbor:"12,keyasint,omitempty" json:"slowdown,omitempty"`
+	WorkLeft        time.Duration `cbor:"13,keyasint,omitempty" json:"work_left,omitempty"`
+	BusyShare       float64       `cbor:"14,keyasint,omitempty" json:"busy_share,omitempty"`
+	Work            time.Duration `cbor:"15,keyasint,omitempty" json:"work,omitempty"`
+	RoundTrip       time.Duration `cbor:"16,keyasint,omitempty" json:"round_trip,omitempty"`
+	PausedShare     float64       `cbor:"17,keyasint,omitempty" json:"paused_share,omitempty"`
+	TimeLeft        time.Duration `cbor:"18,keyasint,omitempty" json:"time_left,omitempty"`
 }
 
 func toReplicaView(v lagoon.ReplicaView) replicaViewForm {
@@ -321,6 +328,13 @@
 		Silence:         v.Silence(),
 		Remaining:       v.Remaining(),
 		Jitter:          v.Jitter(),
+		Slowdown:        v.Slowdown(),
+		WorkLeft:        v.WorkLeft(),
+		BusyShare:       v.BusyShare(),
+		Work:            v.Work(),
+		RoundTrip:       v.RoundTrip(),
+		PausedShare:     v.PausedShare(),
+		TimeLeft:        v.TimeLeft(),
 	}
 }
 
@@ -337,6 +351,62 @@
 	v.SetSilence(m.Silence)
 	v.SetRemaining(m.Remaining)
 	v.SetJitter(m.Jitter)
+	v.SetSlowdown(m.Slowdown)
+	v.SetWorkLeft(m.WorkLeft)
+	v.SetBusyShare(m.BusyShare)
+	v.SetWork(m.Work)
+	v.SetRoundTrip(m.RoundTrip)
+	v.SetPausedShare(m.PausedShare)
+	v.SetTimeLeft(m.TimeLeft)
+	return v
+}
+
+// costKeyForm is the wire form of lagoon.CostKey.
+type costKeyForm struct {
+	Route        string `cbor:"1,keyasint,omitempty" json:"route,omitempty"`
+	Service      string `cbor:"2,keyasint,omitempty" json:"service,omitempty"`
+	Organisation string `cbor:"3,keyasint,omitempty" json:"organisation,omitempty"`
+	Path         string `cbor:"4,keyasint,omitempty" json:"path,omitempty"`
+	Size         int    `cbor:"5,keyasint,omitempty" json:"size,omitempty"`
+}
+
+func toCostKey(v lagoon.CostKey) costKeyForm {
+	return costKeyForm{
+		Route:        v.Route(),
+		Service:      v.Service(),
+		Organisation: v.Organisation(),
+		Path:         v.Path(),
+		Size:         v.Size(),
+	}
+}
+
+func fromCostKey(m costKeyForm) lagoon.CostKey {
+	var v lagoon.CostKey
+	v.SetRoute(m.Route)
+	v.SetService(m.Service)
+	v.SetOrganisation(m.Organisation)
+	v.SetPath(m.Path)
+	v.SetSize(m.Size)
+	return v
+}
+
+// costForm is the wire form of lagoon.Cost.
+type costForm struct {
+	Mean   time.Duration `cbor:"1,keyasint,omitempty" json:"mean,omitempty"`
+	Spread float64       `cbor:"2,keyasint,omitempty" json:"spread,omitempty"`
+}
+
+func toCost(v lagoon.Cost) costForm {
+	return costForm{
+		Mean:   v.Mean(),
+		Spread: v.Spread(),
+	}
+}
+
+func fromCost(m costForm) lagoon.Cost {
+	var v lagoon.Cost
+	v.SetMean(m.Mean)
+	v.SetSpread(m.Spread)
 	return v
 }
 
--- a/pkg/score/score.go
+++ b/pkg/score/score.go
@@ -40,6 +40,9 @@
 
 // Cost returns the cost of sending a request to a replica.
 func (Policy) Cost(v lagoon.ReplicaView) float64 {
+	if v.Slowdown() > 0 {
+		return timeCost(v)
+	}
 	slots, load := slotsAndLoad(v)
 	latency := max(v.RelativeLatency(), minRelativeLatency)
 	cost := latency * (queueingDelay(slots, load) + utilizationWeight*load/slots + inflightWeight*float64(v.Inflight()))
@@ -69,7 +72,12 @@
 // Delay returns the expected response time of a replica relative to a typical
 // response time, from its queue alone. Its recent response times are not used,
 // because on a busy server they mostly reflect the queue of the past.
-func (Policy) Delay(v lagoon.ReplicaView) float64 { return queueingDelay(slotsAndLoad(v)) }
+func (Policy) Delay(v lagoon.ReplicaView) float64 {
+	if v.Slowdown() > 0 {
+		return float64(v.Work()+wait(v)) * v.Slowdown() / float64(max(v.Work(), 1))
+	}
+	return queueingDelay(slotsAndLoad(v))
+}
 
 // slotsAndLoad returns the number of slots of a replica and of the requests it has.
 func slotsAndLoad(v lagoon.ReplicaView) (slots, requests float64) {
