Hedge attempts by the cost left

Cause: attempts at servers that report their speed were hedged after a fixed time of the route, whatever was known of their work and their servers. And the requests of others at a server, as reported, were taken as unchanged for too long.

Change: an attempt is hedged when its expected rest, with the probability that its server pauses, exceeds the expected time of a new one at the best other server by a fifth. Silence counts by how unlikely it is for the attempts in flight. Reported requests of others end as the works of the service do, and new ones arrive as this node's share of the requests suggests.

--- a/internal/direct/flows/flows.go
+++ b/internal/direct/flows/flows.go
@@ -60,3 +60,22 @@
 	}
 	return time.Duration(r.squares / r.seconds / 2 * float64(time.Second))
 }
+
+// Survivors returns the share of the attempts that a server runs at a random time and still runs
+// after age, in work. Cheap ones end within Mean, and those that are left then are costly, so it
+// falls like a power of age, with the parameters that give Mean and Residual.
+func (r *Row) Survivors(age time.Duration) float64 {
+	mean, residual := float64(r.Mean()), float64(r.Residual())
+	switch {
+	case mean == 0:
+		return 0
+	case residual <= mean*minTail:
+		return math.Exp(-float64(age) / mean)
+	}
+	scale := residual * mean / (residual - mean)
+	return math.Pow(1+float64(age)/scale, -scale/mean)
+}
+
+// minTail is the ratio of Residual to Mean up to which the works are taken as exponentially
+// distributed.
+const minTail = 1.05
--- a/internal/direct/trfc/costs/costs.go
+++ b/internal/direct/trfc/costs/costs.go
@@ -20,6 +20,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/pkg/cost"
 )
 
 // A report counts half after reportHalfLife, the time of a few responses, and nothing after
@@ -84,29 +85,64 @@
 	fresh := freshness(e.reportAge)
 	e.slowdown = relativeLatency
 	if h.Slowdown() > 0 {
-		e.slowdown = 1 + (h.Slowdown()-1)*fresh
+		e.slowdown = slowdownOf(h, now)
 	}
 	own, likelihood := h.WorkRef().Left(h.SilentSince(), e.slowdown, now)
-	e.pausedShare = pausedPrior / (pausedPrior + (1-pausedPrior)*likelihood)
+	e.pausedShare = pausedShare(likelihood)
 	slots := float64(max(r.Slots(), 1))
 	flow := l.Flows().Ensure(shard.Service())
 	// Without a report, the other nodes are assumed to send what their share of the requests
 	// suggests, evenly to all servers.
 	perSecond := flow.Rate(now) * (max(l.View().ShareDivisor(), 1) - 1) / float64(max(len(l.View().ServersOf(shard.Service())), 1))
 	usual := perSecond * flow.Mean().Seconds() * e.slowdown
-	running := min(h.ReportedLoad(), slots)
-	reportedLeft := running*float64(flow.Residual()) + (h.ReportedLoad()-running)*float64(flow.Mean())
-	e.others = fresh*h.ReportedLoad() + (1-fresh)*usual
-	e.workLeft = own + time.Duration(fresh*reportedLeft+(1-fresh)*usual*float64(flow.Residual()))
+	left, recent := 0.0, usual
+	if fresh > 0 {
+		gone := 1 - flow.Survivors(time.Duration(float64(e.reportAge)/e.slowdown))
+		left, recent = fresh*h.ReportedLoad()*(1-gone), (1-fresh)*usual+fresh*usual*gone
+	}
+	e.others = left + recent
+	running := min(e.others, slots)
+	e.workLeft = own + time.Duration(running*float64(flow.Residual())+(e.others-running)*float64(flow.Mean()))
 	free := int(slots) - h.Inflight()
-	e.busyShare = (1 - fresh) * atLeast(free, usual)
-	if float64(free) <= h.ReportedLoad() {
-		e.busyShare += fresh
-	}
+	whole, part := math.Modf(left)
+	e.busyShare = (1-part)*atLeast(free-int(whole), recent) + part*atLeast(free-int(whole)-1, recent)
 	e.roundTrip = RoundTrip(l, r)
 	return e
 }
 
+// slowdownOf returns the slowdown that a server reported, less by the age of the report.
+func slowdownOf(h *health.Row, now time.Duration) float64 {
+	return 1 + (h.Slowdown()-1)*freshness(now-h.ReportedAt())
+}
+
+// pausedShare returns the probability that a server pauses that has not responded for a time. The
+// likelihood is that of the time if it does not pause.
+func pausedShare(likelihood float64) float64 {
+	return pausedPrior / (pausedPrior + (1-pausedPrior)*likelihood)
+}
+
+// Rest returns the expected time until the response to an attempt in flight.
+func Rest(l *loop.Loop, attempt *tries.Row, now time.Duration) time.Duration {
+	h, ok := l.Health().Find(attempt.Server())
+	if !ok {
+		return 0
+	}
+	slowdown := max(slowdownOf(h, now), attempt.Slowdown())
+	age := time.Duration(float64(now-attempt.SentAt()-attempt.Wait()) / slowdown)
+	_, likelihood := h.WorkRef().Left(h.SilentSince(), slowdown, now)
+	return time.Duration(float64(cost.Remaining(attempt.Cost(), age))*slowdown + pausedShare(likelihood)*float64(pauseRest))
+}
+
+// pauseRest is the expected rest of a pause of a server. Those of the platform take 120 ms to
+// 200 ms.
+const pauseRest = 100 * time.Millisecond
+
+// Expected returns the expected time until the response to the attempt, with the wait until its
+// work begins.
+func (e *Estimate) Expected(wait time.Duration) time.Duration {
+	return wait + time.Duration(float64(e.cost.Mean())*e.slowdown+e.pausedShare*float64(pauseRest)) + e.roundTrip
+}
+
 // freshness returns how much a report of an age counts, 0 to 1.
 func freshness(age time.Duration) float64 {
 	if age >= maxReportAge {
--- a/internal/direct/trfc/hedge/hedge.go
+++ b/internal/direct/trfc/hedge/hedge.go
@@ -18,6 +18,8 @@
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/choose"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/costs"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
@@ -40,6 +42,12 @@
 	refusalWindow  = time.Second // the time that the reserve is kept after a refusal; a server gets some tens of requests in it
 )
 
+// Parameters of hedging by the cost left.
+const (
+	margin          = 1.2                  // by which the rest of an attempt must exceed the time of a new one
+	recheckInterval = 4 * time.Millisecond // while it does not
+)
+
 // System hedges attempts.
 type System struct{}
 
@@ -75,6 +83,14 @@
 	view.SetRemaining(req.Deadline() - now)
 	view.SetTokens(bucket.Available())
 	view.SetAttempts(shard.Inflight())
+	if attempt.Slowdown() > 0 {
+		elsewhere, worth := worthwhile(l, attempt, shard, req, now)
+		if !worth {
+			l.WakeAt(now+recheckInterval, timers.HedgeDelay, id)
+			return
+		}
+		view.SetTypicalLatency(min(view.Elapsed(), elsewhere))
+	}
 	hedge, wait := l.HedgePolicy().Hedge(view)
 	if !hedge {
 		if wait > 0 {
@@ -95,6 +111,27 @@
 	l.Record("attempt_hedged", attempt.Service(), request.ID(), fmt.Sprintf("attempt at %s has been running for %s, hedge delay %s; %.1f extra attempts left", attempt.Server(), now-attempt.SentAt(), view.TypicalLatency(), bucket.Available()))
 }
 
+// worthwhile reports whether the rest of an attempt is expected to take longer than a new one at
+// the best other server does, which is elsewhere.
+func worthwhile(l *loop.Loop, attempt *tries.Row, shard *shards.Row, req *reqs.Row, now time.Duration) (elsewhere time.Duration, worth bool) {
+	c := choose.Best(l, shard, req, now)
+	e := c.Estimate()
+	if !c.Found() || e.Slowdown() == 0 {
+		return 0, c.Found()
+	}
+	elsewhere = e.Expected(c.Wait())
+	return elsewhere, float64(costs.Rest(l, attempt, now)) > margin*float64(elsewhere)
+}
+
+// FirstCheck returns the time after which it is first considered to hedge an attempt.
+func FirstCheck(l *loop.Loop, r *lagoon.Route, attempt *tries.Row) time.Duration {
+	if attempt.Slowdown() == 0 {
+		return Delay(l, r)
+	}
+	c := attempt.Cost()
+	return attempt.Wait() + time.Duration(float64(c.Mean())*attempt.Slowdown())
+}
+
 // reserved reports whether the tokens left are reserved for retries after
 // refusals.
 func reserved(budget *tokens.Row, now time.Duration) bool {
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -283,7 +283,7 @@
 	shard.SetAttempts(append(shard.Attempts(), attemptID))
 	sendAttempt(l, attemptID, attempt, req, r, now)
 	if req.Route().Idempotent() {
-		l.WakeAt(now+hedge.Delay(l, req.Route()), timers.HedgeDelay, attemptID)
+		l.WakeAt(now+hedge.FirstCheck(l, req.Route(), attempt), timers.HedgeDelay, attemptID)
 	}
 }
 
