--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -112,6 +112,12 @@
 // SetControlTick sets when the last tick of control began, in nanoseconds of the clock; nil if it is not known.
 func (v *Loop) SetControlTick(x *atomic.Int64) { v.controlTick = x }
 
+// CostModel returns the model of the work of requests; nil turns it off.
+func (v *Loop) CostModel() lagoon.CostModel { return v.costModel }
+
+// SetCostModel sets the model of the work of requests; nil turns it off.
+func (v *Loop) SetCostModel(x lagoon.CostModel) { v.costModel = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
