--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -88,3 +88,9 @@
 
 // SetRevokeTime sets within which a key that was removed from the catalog must be refused; 0 for no bound.
 func (v *Node) SetRevokeTime(x time.Duration) { v.revokeTime = x }
+
+// CostModelOff returns whether servers are chosen without the cost model.
+func (v *Node) CostModelOff() bool { return v.costModelOff }
+
+// SetCostModelOff sets whether servers are chosen without the cost model.
+func (v *Node) SetCostModelOff(x bool) { v.costModelOff = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -60,6 +60,7 @@
 	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
 	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
 	revokeTime   time.Duration    // within which a key that was removed from the catalog must be refused; 0 for no bound
+	costModelOff bool             // whether servers are chosen without the cost model
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -153,7 +154,9 @@
 	n.traffic.SetPartialPolicy(cutoff.Policy{})
 	n.traffic.SetReplicaPolicy(score.Policy{})
 	n.traffic.SetRetryPolicy(retry.Policy{})
-	n.traffic.SetCostModel(cost.New())
+	if !n.costModelOff {
+		n.traffic.SetCostModel(cost.New())
+	}
 	n.traffic.SetExtraRatio(n.extraRatio)
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
