Correct false reports of speed by measured times

Cause: a server that reports the usual speed although it is slow got as many requests as before, and one that reports to be slow although it is not got hardly any.

Change: each server's measured times are averaged relative to those that its reports suggest.

--- a/internal/direct/health/health.go
+++ b/internal/direct/health/health.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"github.com/lagoontrail/lagoon/internal/direct/bias"
 	"github.com/lagoontrail/lagoon/internal/direct/work"
 )
 
@@ -36,7 +37,11 @@
 	slowdown            float64       // how long work takes on the server, relative to its usual time, as last reported; 0 if it does not report that
 
 	work work.List
+	bias bias.Average
 }
 
 // WorkRef returns the attempts in flight with their costs, to be modified in place.
 func (r *Row) WorkRef() *work.List { return &r.work }
+
+// BiasRef returns how the measured times deviate from the reported speed, to be modified in place.
+func (r *Row) BiasRef() *bias.Average { return &r.bias }
--- a/internal/direct/trfc/costs/costs.go
+++ b/internal/direct/trfc/costs/costs.go
@@ -110,9 +110,10 @@
 	return e
 }
 
-// slowdownOf returns the slowdown that a server reported, less by the age of the report.
+// slowdownOf returns the slowdown that a server reported, less by the age of the report, and
+// corrected by its measured times.
 func slowdownOf(h *health.Row, now time.Duration) float64 {
-	return 1 + (h.Slowdown()-1)*freshness(now-h.ReportedAt())
+	return (1 + (h.Slowdown()-1)*freshness(now-h.ReportedAt())) * h.BiasRef().Factor(now)
 }
 
 // pausedShare returns the probability that a server pauses that has not responded for a time. The
@@ -228,7 +229,8 @@
 		return
 	}
 	l.Trips().Ensure(attempt.Zone()).Add(result.ConnectTime())
-	slowdown := h.Slowdown()
+	correction := h.BiasRef().Factor(now)
+	slowdown := h.Slowdown() * correction
 	if attempt.Slowdown() > 0 {
 		slowdown = (slowdown + attempt.Slowdown()) / 2 // it may have changed while the attempt ran
 	}
@@ -237,7 +239,21 @@
 	switch {
 	case result.Status() == lagoon.StatusOK:
 		l.CostModel().Observe(attempt.CostKey(), work, true, now)
+		h.BiasRef().Add(correction*relative(attempt, work), now)
 	case result.Status() == lagoon.StatusUnknown && attempt.RequestDone():
 		l.CostModel().Observe(attempt.CostKey(), work, false, now)
+		if ratio := relative(attempt, work); ratio > 1 { // less of a cancelled attempt says nothing
+			h.BiasRef().Add(correction*ratio, now)
+		}
+	}
+}
+
+// relative returns the work of an attempt relative to the median expected at its start, or 0 if
+// nothing was expected.
+func relative(attempt *tries.Row, work time.Duration) float64 {
+	c := attempt.Cost()
+	if attempt.Slowdown() == 0 || c.Mean() == 0 {
+		return 0
 	}
+	return float64(work) / (float64(c.Mean()) * math.Exp(-c.Spread()*c.Spread()/2))
 }
