--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -142,6 +142,12 @@
 // SetShortOfTokens sets the organisations that may need quota tokens.
 func (v *Loop) SetShortOfTokens(x []string) { v.shortOfTokens = x }
 
+// CostModel returns the model of the work of requests; nil turns it off.
+func (v *Loop) CostModel() lagoon.CostModel { return v.costModel }
+
+// SetCostModel sets the model of the work of requests; nil turns it off.
+func (v *Loop) SetCostModel(x lagoon.CostModel) { v.costModel = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/flows"
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
@@ -31,6 +32,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/stats"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/internal/direct/trips"
 	"github.com/lagoontrail/lagoon/internal/direct/usage"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
@@ -67,6 +69,7 @@
 	tokenRecheck  time.Duration                                              // the time of the timer that asks for quota tokens next; 0 or past for none
 	quotaGrants   []*lagoon.QuotaGrant                                       // the grants of quota tokens received in this tick
 	shortOfTokens []string                                                   // the organisations that may need quota tokens
+	costModel     lagoon.CostModel                                           // the model of the work of requests; nil turns it off
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
@@ -86,6 +89,8 @@
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
 	usage      rows.Table[usage.Row]
+	flows      rows.Table[flows.Row]
+	trips      rows.Table[trips.Row]
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -151,6 +156,12 @@
 // name.
 func (l *Loop) Usage() *rows.Table[usage.Row] { return &l.usage }
 
+// Flows returns the table of the work that this node sends to each service.
+func (l *Loop) Flows() *rows.Table[flows.Row] { return &l.flows }
+
+// Trips returns the table of the round-trip times to each availability zone.
+func (l *Loop) Trips() *rows.Table[trips.Row] { return &l.trips }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -94,3 +94,9 @@
 
 // SetQuotaBounds sets the bounds on the quotas of organisations; zero values mean the defaults.
 func (v *Node) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
+
+// CostModelOff returns whether servers are chosen without the cost model.
+func (v *Node) CostModelOff() bool { return v.costModelOff }
+
+// SetCostModelOff sets whether servers are chosen without the cost model.
+func (v *Node) SetCostModelOff(x bool) { v.costModelOff = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
+	"github.com/lagoontrail/lagoon/pkg/cost"
 	"github.com/lagoontrail/lagoon/pkg/cutoff"
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
@@ -60,6 +61,7 @@
 	extraWindow  time.Duration      // the length of the window that ExtraSlack applies to
 	revokeTime   time.Duration      // within which a key that was removed from the catalog must be refused; 0 for no bound
 	quotaBounds  lagoon.QuotaBounds // the bounds on the quotas of organisations; zero values mean the defaults
+	costModelOff bool               // whether servers are chosen without the cost model
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -155,6 +157,9 @@
 	n.traffic.SetPartialPolicy(cutoff.Policy{})
 	n.traffic.SetReplicaPolicy(score.Policy{})
 	n.traffic.SetRetryPolicy(retry.Policy{})
+	if !n.costModelOff {
+		n.traffic.SetCostModel(cost.New())
+	}
 	n.traffic.SetExtraRatio(n.extraRatio)
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
