Read roll-out orders and write their states conditionally

Cause: nothing in the product knew of orders to roll out versions. Change: Replica.version, TopicRollouts, Rollout, RegistryWriter and the counts and grants in Heartbeat. Only deployments whose settings have the contract read the topic. An invalid order leaves the one before it in force.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -214,6 +214,48 @@
 // SetRevision sets the revision of the announcement in the platform's store.
 func (v *Replica) SetRevision(x uint64) { v.revision = x }
 
+// Version returns the version of the program that the server runs; empty if it did not say so.
+func (v Replica) Version() string { return v.version }
+
+// SetVersion sets the version of the program that the server runs; empty if it did not say so.
+func (v *Replica) SetVersion(x string) { v.version = x }
+
+// Service returns the service name, which is also the name of the object.
+func (v Rollout) Service() string { return v.service }
+
+// SetService sets the service name, which is also the name of the object.
+func (v *Rollout) SetService(x string) { v.service = x }
+
+// TargetVersion returns the version that the traffic moves to.
+func (v Rollout) TargetVersion() string { return v.targetVersion }
+
+// SetTargetVersion sets the version that the traffic moves to.
+func (v *Rollout) SetTargetVersion(x string) { v.targetVersion = x }
+
+// Duration returns the time within which the order is to be completed.
+func (v Rollout) Duration() time.Duration { return v.duration }
+
+// SetDuration sets the time within which the order is to be completed.
+func (v *Rollout) SetDuration(x time.Duration) { v.duration = x }
+
+// Revision returns the revision of the object in the registry.
+func (v Rollout) Revision() uint64 { return v.revision }
+
+// SetRevision sets the revision of the object in the registry.
+func (v *Rollout) SetRevision(x uint64) { v.revision = x }
+
+// State returns the state in the registry; RolloutOrdered if the status is about another target.
+func (v Rollout) State() RolloutState { return v.state }
+
+// SetState sets the state in the registry; RolloutOrdered if the status is about another target.
+func (v *Rollout) SetState(x RolloutState) { v.state = x }
+
+// Invalid returns whether the object could not be decoded, so that an earlier order stays in force.
+func (v Rollout) Invalid() bool { return v.invalid }
+
+// SetInvalid sets whether the object could not be decoded, so that an earlier order stays in force.
+func (v *Rollout) SetInvalid(x bool) { v.invalid = x }
+
 // Topic returns the topic.
 func (v RegistryUpdate) Topic() Topic { return v.topic }
 
@@ -268,6 +310,12 @@
 // SetRemoved sets the IDs or names that were removed.
 func (v *RegistryUpdate) SetRemoved(x []string) { v.removed = x }
 
+// Rollouts returns the orders written or changed, for TopicRollouts.
+func (v RegistryUpdate) Rollouts() []Rollout { return v.rollouts }
+
+// SetRollouts sets the orders written or changed, for TopicRollouts.
+func (v *RegistryUpdate) SetRollouts(x []Rollout) { v.rollouts = x }
+
 // ID returns the request ID, unique for each attempt of a caller.
 func (v Request) ID() string { return v.id }
 
@@ -814,6 +862,150 @@
 // SetRosterAcked sets the version of the recipient's roster that the sender has.
 func (v *Heartbeat) SetRosterAcked(x uint64) { v.rosterAcked = x }
 
+// RolloutReports returns what the sender saw of both versions in the open roll-outs.
+func (v Heartbeat) RolloutReports() []RolloutReport { return v.rolloutReports }
+
+// SetRolloutReports sets what the sender saw of both versions in the open roll-outs.
+func (v *Heartbeat) SetRolloutReports(x []RolloutReport) { v.rolloutReports = x }
+
+// RolloutGrants returns the recipient's permissions in the open roll-outs, from the decider.
+func (v Heartbeat) RolloutGrants() []RolloutGrant { return v.rolloutGrants }
+
+// SetRolloutGrants sets the recipient's permissions in the open roll-outs, from the decider.
+func (v *Heartbeat) SetRolloutGrants(x []RolloutGrant) { v.rolloutGrants = x }
+
+// Route returns the route name.
+func (v RolloutCounts) Route() string { return v.route }
+
+// SetRoute sets the route name.
+func (v *RolloutCounts) SetRoute(x string) { v.route = x }
+
+// Old returns the responses of the old versions.
+func (v RolloutCounts) Old() uint64 { return v.old }
+
+// SetOld sets the responses of the old versions.
+func (v *RolloutCounts) SetOld(x uint64) { v.old = x }
+
+// OldBad returns the bad ones of these.
+func (v RolloutCounts) OldBad() uint64 { return v.oldBad }
+
+// SetOldBad sets the bad ones of these.
+func (v *RolloutCounts) SetOldBad(x uint64) { v.oldBad = x }
+
+// Target returns the responses of the target version.
+func (v RolloutCounts) Target() uint64 { return v.target }
+
+// SetTarget sets the responses of the target version.
+func (v *RolloutCounts) SetTarget(x uint64) { v.target = x }
+
+// TargetBad returns the bad ones of these.
+func (v RolloutCounts) TargetBad() uint64 { return v.targetBad }
+
+// SetTargetBad sets the bad ones of these.
+func (v *RolloutCounts) SetTargetBad(x uint64) { v.targetBad = x }
+
+// Service returns the service name.
+func (v RolloutReport) Service() string { return v.service }
+
+// SetService sets the service name.
+func (v *RolloutReport) SetService(x string) { v.service = x }
+
+// TargetVersion returns the target version.
+func (v RolloutReport) TargetVersion() string { return v.targetVersion }
+
+// SetTargetVersion sets the target version.
+func (v *RolloutReport) SetTargetVersion(x string) { v.targetVersion = x }
+
+// Revision returns the revision of the order that the sender has.
+func (v RolloutReport) Revision() uint64 { return v.revision }
+
+// SetRevision sets the revision of the order that the sender has.
+func (v *RolloutReport) SetRevision(x uint64) { v.revision = x }
+
+// Age returns the time since the sender learned of the order.
+func (v RolloutReport) Age() time.Duration { return v.age }
+
+// SetAge sets the time since the sender learned of the order.
+func (v *RolloutReport) SetAge(x time.Duration) { v.age = x }
+
+// Counts returns the responses by route.
+func (v RolloutReport) Counts() []RolloutCounts { return v.counts }
+
+// SetCounts sets the responses by route.
+func (v *RolloutReport) SetCounts(x []RolloutCounts) { v.counts = x }
+
+// Switched returns whether the sender sends nothing to the old versions and has no such request in flight.
+func (v RolloutReport) Switched() bool { return v.switched }
+
+// SetSwitched sets whether the sender sends nothing to the old versions and has no such request in flight.
+func (v *RolloutReport) SetSwitched(x bool) { v.switched = x }
+
+// Rejected returns whether a decider told the sender that the target version is bad.
+func (v RolloutReport) Rejected() bool { return v.rejected }
+
+// SetRejected sets whether a decider told the sender that the target version is bad.
+func (v *RolloutReport) SetRejected(x bool) { v.rejected = x }
+
+// Service returns the service name.
+func (v RolloutGrant) Service() string { return v.service }
+
+// SetService sets the service name.
+func (v *RolloutGrant) SetService(x string) { v.service = x }
+
+// TargetVersion returns the target version.
+func (v RolloutGrant) TargetVersion() string { return v.targetVersion }
+
+// SetTargetVersion sets the target version.
+func (v *RolloutGrant) SetTargetVersion(x string) { v.targetVersion = x }
+
+// Revision returns the revision of the order that the decider has.
+func (v RolloutGrant) Revision() uint64 { return v.revision }
+
+// SetRevision sets the revision of the order that the decider has.
+func (v *RolloutGrant) SetRevision(x uint64) { v.revision = x }
+
+// Echo returns the send time of the heartbeat with the report that the grant answers, on the recipient's clock.
+func (v RolloutGrant) Echo() time.Duration { return v.echo }
+
+// SetEcho sets the send time of the heartbeat with the report that the grant answers, on the recipient's clock.
+func (v *RolloutGrant) SetEcho(x time.Duration) { v.echo = x }
+
+// Share returns the share of the attempts that go to the target version, 0 to 1.
+func (v RolloutGrant) Share() float64 { return v.share }
+
+// SetShare sets the share of the attempts that go to the target version, 0 to 1.
+func (v *RolloutGrant) SetShare(x float64) { v.share = x }
+
+// Shift returns whether all attempts go to the target version.
+func (v RolloutGrant) Shift() bool { return v.shift }
+
+// SetShift sets whether all attempts go to the target version.
+func (v *RolloutGrant) SetShift(x bool) { v.shift = x }
+
+// Rejected returns whether the target version is bad and must not be used.
+func (v RolloutGrant) Rejected() bool { return v.rejected }
+
+// SetRejected sets whether the target version is bad and must not be used.
+func (v *RolloutGrant) SetRejected(x bool) { v.rejected = x }
+
+// TargetFor returns how long the target version may be used; 0 for not at all.
+func (v RolloutGrant) TargetFor() time.Duration { return v.targetFor }
+
+// SetTargetFor sets how long the target version may be used; 0 for not at all.
+func (v *RolloutGrant) SetTargetFor(x time.Duration) { v.targetFor = x }
+
+// OldFor returns how long the old versions may be used.
+func (v RolloutGrant) OldFor() time.Duration { return v.oldFor }
+
+// SetOldFor sets how long the old versions may be used.
+func (v *RolloutGrant) SetOldFor(x time.Duration) { v.oldFor = x }
+
+// BadLimit returns the number of bad responses after the report at which the node stops using the target; 0 for no limit.
+func (v RolloutGrant) BadLimit() uint64 { return v.badLimit }
+
+// SetBadLimit sets the number of bad responses after the report at which the node stops using the target; 0 for no limit.
+func (v *RolloutGrant) SetBadLimit(x uint64) { v.badLimit = x }
+
 // Topic returns the topic.
 func (v TopicState) Topic() Topic { return v.topic }
 
--- a/direct.go
+++ b/direct.go
@@ -62,6 +62,18 @@
 	coldDuration time.Duration // how long the server stays cold after the announcement; json:"cold"
 	startedMilli int64         // the server's start time, in Unix milliseconds; json:"born"
 	revision     uint64        // the revision of the announcement in the platform's store
+	version      string        // the version of the program that the server runs; empty if it did not say so
+}
+
+// Rollout is an operator's order that the traffic of a service moves to servers of another
+// version, and what became of it. An invalid one says only that the object exists.
+type Rollout struct {
+	service       string        // the service name, which is also the name of the object
+	targetVersion string        // the version that the traffic moves to; json:"target"
+	duration      time.Duration // the time within which the order is to be completed
+	revision      uint64        // the revision of the object in the registry
+	state         RolloutState  // the state in the registry; RolloutOrdered if the status is about another target
+	invalid       bool          // whether the object could not be decoded, so that an earlier order stays in force
 }
 
 // RegistryUpdate is the content of one topic of a Registry, or a change to it.
@@ -75,6 +87,7 @@
 	zones    []string  // the availability zones taken out of service, for TopicZones
 	members  []Member  // the nodes announced or changed, for TopicMembers
 	removed  []string  // the IDs or names that were removed
+	rollouts []Rollout // the orders written or changed, for TopicRollouts
 }
 
 // Request is one request of a caller, to be routed.
--- a/enums.go
+++ b/enums.go
@@ -92,14 +92,15 @@
 	TopicReplicas              // servers
 	TopicZones                 // availability zones taken out of service
 	TopicMembers               // nodes
+	TopicRollouts              // orders to roll out versions; only in deployments with roll-outs
 )
 
-// Topics lists all topics.
+// Topics lists the topics that every deployment has.
 var Topics = [...]Topic{TopicCatalog, TopicReplicas, TopicZones, TopicMembers}
 
 // String returns the topic in snake case.
 func (t Topic) String() string {
-	names := [...]string{"catalog", "replicas", "zones", "members"}
+	names := [...]string{"catalog", "replicas", "zones", "members", "rollouts"}
 	if int(t) >= len(names) {
 		return "invalid"
 	}
@@ -131,3 +132,26 @@
 	}
 	return names[o]
 }
+
+// RolloutState is the state of a roll-out in the registry.
+type RolloutState uint8
+
+// The states of a roll-out. The last two are final.
+const (
+	RolloutOrdered    RolloutState = iota // the system has not acted on the order yet
+	RolloutRunning                        // both versions are in use
+	RolloutCompleted                      // only the target version is in use
+	RolloutRolledBack                     // the target version is not in use
+)
+
+// Closed reports whether the state is final.
+func (s RolloutState) Closed() bool { return s >= RolloutCompleted }
+
+// String returns the state in snake case.
+func (s RolloutState) String() string {
+	names := [...]string{"ordered", "running", "completed", "rolled_back"}
+	if int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -134,6 +134,16 @@
 	Announce(ctx context.Context, self Member) error
 }
 
+// RegistryWriter writes what became of a roll-out.
+type RegistryWriter interface {
+	// WriteRollout writes the state of an order if the object still has the order's
+	// revision, and returns a wrapped ErrConflict if it has not. When the reply is
+	// lost, the object is read back; ErrUnavailable then means that the write may still
+	// take effect. mayWrite is called right before the bytes are sent; the write is
+	// abandoned if it returns an error.
+	WriteRollout(ctx context.Context, order Rollout, state RolloutState, mayWrite func() error) error
+}
+
 // Transport sends attempts to servers. Do blocks until the attempt ends and
 // returns every failure in the AttemptResult's status. It never resends an
 // attempt.
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -167,7 +167,7 @@
 // Empty reports whether an update contains no changes.
 func Empty(update lagoon.RegistryUpdate) bool {
 	catalog := update.Catalog()
-	return catalog.Revision() == 0 && len(update.Replicas())+len(update.Zones())+len(update.Members())+len(update.Removed()) == 0
+	return catalog.Revision() == 0 && len(update.Replicas())+len(update.Zones())+len(update.Members())+len(update.Removed())+len(update.Rollouts()) == 0
 }
 
 // apply applies an update to the tables of its topic. since is the earliest time at
@@ -183,6 +183,8 @@
 		applyZones(s, update)
 	case lagoon.TopicMembers:
 		applyMembers(s, update, now)
+	case lagoon.TopicRollouts:
+		applyRollouts(s, update, now)
 	}
 }
 
--- a/internal/direct/ctrl/pull/pull.go
+++ b/internal/direct/ctrl/pull/pull.go
@@ -79,6 +79,7 @@
 	lagoon.TopicReplicas: 2 * time.Second,         // a draining server must get no requests 3 s after it announced that
 	lagoon.TopicZones:    2500 * time.Millisecond, // a zone taken out must get no requests after 5 s
 	lagoon.TopicMembers:  10 * time.Second,        // heartbeats show the live nodes sooner
+	lagoon.TopicRollouts: 2 * time.Second,         // servers of a new version are not used before orders are known up to their announcement
 }
 
 // staleAfter returns the age of the catalog's last confirmation at which a node calls the
@@ -93,7 +94,7 @@
 // hear of its end before they call the registry themselves.
 func watchWait(s *state.State, topic lagoon.Topic) time.Duration {
 	switch topic {
-	case lagoon.TopicCatalog, lagoon.TopicReplicas:
+	case lagoon.TopicCatalog, lagoon.TopicReplicas, lagoon.TopicRollouts:
 		return min(watchWaits[topic], staleAfter(s)-heartbeatMargin)
 	}
 	return watchWaits[topic]
--- a/internal/direct/ctrl/push/push.go
+++ b/internal/direct/ctrl/push/push.go
@@ -88,7 +88,11 @@
 // sendFullState sends a node all topics and reports whether they were sent. The
 // first attempt for a node that has just started may only open the connection.
 func sendFullState(s *state.State, row *peers.Row) bool {
-	for _, topic := range lagoon.Topics {
+	for i := range s.Topics().Len() {
+		topic := s.Topics().At(i).Topic()
+		if topic == lagoon.TopicRollouts && !s.Topics().At(i).Synced() {
+			continue // an empty list would end the orders that the node has
+		}
 		if !s.Link().Send(row.Member().Addr(), newPush(s, fullState(s, topic))) {
 			return false
 		}
@@ -131,6 +135,15 @@
 			members = append(members, s.Peers().At(i).Member())
 		}
 		update.SetMembers(members)
+	case lagoon.TopicRollouts:
+		var rollouts []lagoon.Rollout
+		for i := range s.Orders().Len() {
+			row := s.Orders().At(i)
+			if order := row.Order(); row.WithdrawnUntil() == 0 && order.TargetVersion() != "" {
+				rollouts = append(rollouts, order)
+			}
+		}
+		update.SetRollouts(rollouts)
 	}
 	return update
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -7,6 +7,7 @@
 import "time"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/fetch"
+import "github.com/lagoontrail/lagoon/internal/direct/tally"
 import "github.com/lagoontrail/lagoon/internal/direct/view"
 
 // Self returns this node.
@@ -246,3 +247,37 @@
 
 // SetHeartbeats sets the heartbeats received in this tick.
 func (v *State) SetHeartbeats(x []*lagoon.Heartbeat) { v.heartbeats = x }
+
+// ExposureShare returns the share of a service's requests that an unproven version may get.
+func (v *State) ExposureShare() float64 { return v.exposureShare }
+
+// SetExposureShare sets the share of a service's requests that an unproven version may get.
+func (v *State) SetExposureShare(x float64) { v.exposureShare = x }
+
+// RollbackTime returns after the 50th bad response of a version within which requests to it must end.
+func (v *State) RollbackTime() time.Duration { return v.rollbackTime }
+
+// SetRollbackTime sets after the 50th bad response of a version within which requests to it must end.
+func (v *State) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
+
+// RegistryWriter returns what writes the states of roll-outs; nil if the deployment has none.
+func (v *State) RegistryWriter() lagoon.RegistryWriter { return v.registryWriter }
+
+// SetRegistryWriter sets what writes the states of roll-outs; nil if the deployment has none.
+func (v *State) SetRegistryWriter(x lagoon.RegistryWriter) { v.registryWriter = x }
+
+// WriteRunner returns the function that runs writes; nil runs each on its own goroutine.
+func (v *State) WriteRunner() func(write func(ctx context.Context) error, done func(s *State, err error)) {
+	return v.writeRunner
+}
+
+// SetWriteRunner sets the function that runs writes; nil runs each on its own goroutine.
+func (v *State) SetWriteRunner(x func(write func(ctx context.Context) error, done func(s *State, err error))) {
+	v.writeRunner = x
+}
+
+// Tally returns the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *State) Tally() *tally.Tally { return v.tally }
+
+// SetTally sets the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *State) SetTally(x *tally.Tally) { v.tally = x }
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -21,9 +21,11 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/fetch"
+	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/roster"
 	"github.com/lagoontrail/lagoon/internal/direct/server"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
@@ -77,11 +79,17 @@
 	pushes            []*lagoon.RegistryPush                                                                  // the updates that hubs pushed, received in this tick
 	updates           []lagoon.RegistryUpdate                                                                 // the updates read from the registry in this tick
 	heartbeats        []*lagoon.Heartbeat                                                                     // the heartbeats received in this tick
+	exposureShare     float64                                                                                 // the share of a service's requests that an unproven version may get
+	rollbackTime      time.Duration                                                                           // after the 50th bad response of a version within which requests to it must end
+	registryWriter    lagoon.RegistryWriter                                                                   // what writes the states of roll-outs; nil if the deployment has none
+	writeRunner       func(write func(ctx context.Context) error, done func(s *State, err error))             // the function that runs writes; nil runs each on its own goroutine
+	tally             *tally.Tally                                                                            // the responses by version in the open roll-outs; nil if the deployment has none
 
 	mailbox *mbox.Mailbox
 	servers rows.Table[server.Row]
 	peers   rows.Table[peers.Row]
 	topics  rows.Table[topics.Row]
+	orders  rows.Table[orders.Row]
 	roster  roster.Roster
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -125,6 +133,34 @@
 	}()
 }
 
+// EnableRollouts adds the topic of roll-outs, which other deployments do not call the registry
+// for.
+func (s *State) EnableRollouts() {
+	s.topics.Ensure(lagoon.TopicRollouts.String()).SetTopic(lagoon.TopicRollouts)
+}
+
+// Rollouts returns the topic of roll-outs, or false if the deployment has none.
+func (s *State) Rollouts() (*topics.Row, bool) {
+	return s.topics.Find(lagoon.TopicRollouts.String())
+}
+
+// Orders returns the table of orders to roll out versions.
+func (s *State) Orders() *rows.Table[orders.Row] { return &s.orders }
+
+// Write runs a write to the registry on another goroutine, and done in a later tick.
+func (s *State) Write(write func(ctx context.Context) error, done func(s *State, err error)) {
+	if s.writeRunner != nil {
+		s.writeRunner(write, done)
+		return
+	}
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		err := write(s.ctx)
+		_ = s.mailbox.Post(s.ctx, func(s *State) { done(s, err) }) // fails only after the control loop has stopped
+	}()
+}
+
 // Servers returns the table of announced servers.
 func (s *State) Servers() *rows.Table[server.Row] { return &s.servers }
 
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -164,6 +164,7 @@
 	ColdDuration time.Duration `cbor:"7,keyasint,omitempty" json:"cold,omitempty"`
 	StartedMilli int64         `cbor:"8,keyasint,omitempty" json:"born,omitempty"`
 	Revision     uint64        `cbor:"9,keyasint,omitempty" json:"revision,omitempty"`
+	Version      string        `cbor:"10,keyasint,omitempty" json:"version,omitempty"`
 }
 
 func toReplica(v lagoon.Replica) replicaForm {
@@ -177,6 +178,7 @@
 		ColdDuration: v.ColdDuration(),
 		StartedMilli: v.StartedMilli(),
 		Revision:     v.Revision(),
+		Version:      v.Version(),
 	}
 }
 
@@ -191,6 +193,39 @@
 	v.SetColdDuration(m.ColdDuration)
 	v.SetStartedMilli(m.StartedMilli)
 	v.SetRevision(m.Revision)
+	v.SetVersion(m.Version)
+	return v
+}
+
+// rolloutForm is the wire form of lagoon.Rollout.
+type rolloutForm struct {
+	Service       string              `cbor:"1,keyasint,omitempty" json:"service,omitempty"`
+	TargetVersion string              `cbor:"2,keyasint,omitempty" json:"target,omitempty"`
+	Duration      time.Duration       `cbor:"3,keyasint,omitempty" json:"duration,omitempty"`
+	Revision      uint64              `cbor:"4,keyasint,omitempty" json:"revision,omitempty"`
+	State         lagoon.RolloutState `cbor:"5,keyasint,omitempty" json:"state,omitempty"`
+	Invalid       bool                `cbor:"6,keyasint,omitempty" json:"invalid,omitempty"`
+}
+
+func toRollout(v lagoon.Rollout) rolloutForm {
+	return rolloutForm{
+		Service:       v.Service(),
+		TargetVersion: v.TargetVersion(),
+		Duration:      v.Duration(),
+		Revision:      v.Revision(),
+		State:         v.State(),
+		Invalid:       v.Invalid(),
+	}
+}
+
+func fromRollout(m rolloutForm) lagoon.Rollout {
+	var v lagoon.Rollout
+	v.SetService(m.Service)
+	v.SetTargetVersion(m.TargetVersion)
+	v.SetDuration(m.Duration)
+	v.SetRevision(m.Revision)
+	v.SetState(m.State)
+	v.SetInvalid(m.Invalid)
 	return v
 }
 
@@ -205,6 +240,7 @@
 	Zones    []string      `cbor:"7,keyasint,omitempty" json:"zones,omitempty"`
 	Members  []memberForm  `cbor:"8,keyasint,omitempty" json:"members,omitempty"`
 	Removed  []string      `cbor:"9,keyasint,omitempty" json:"removed,omitempty"`
+	Rollouts []rolloutForm `cbor:"10,keyasint,omitempty" json:"rollouts,omitempty"`
 }
 
 func toRegistryUpdate(v lagoon.RegistryUpdate) registryUpdateForm {
@@ -218,6 +254,7 @@
 		Zones:    v.Zones(),
 		Members:  each(v.Members(), toMember),
 		Removed:  v.Removed(),
+		Rollouts: each(v.Rollouts(), toRollout),
 	}
 }
 
@@ -232,6 +269,7 @@
 	v.SetZones(m.Zones)
 	v.SetMembers(each(m.Members, fromMember))
 	v.SetRemoved(m.Removed)
+	v.SetRollouts(each(m.Rollouts, fromRollout))
 	return v
 }
 
@@ -389,28 +427,30 @@
 
 // heartbeatForm is the wire form of lagoon.Heartbeat.
 type heartbeatForm struct {
-	From             memberForm         `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
-	Sent             time.Duration      `cbor:"2,keyasint,omitempty" json:"sent,omitempty"`
-	Echo             time.Duration      `cbor:"3,keyasint,omitempty" json:"echo,omitempty"`
-	EchoStartID      uint64             `cbor:"4,keyasint,omitempty" json:"echo_start,omitempty"`
-	PlacementVersion uint64             `cbor:"5,keyasint,omitempty" json:"placement,omitempty"`
-	ConfigRevision   uint64             `cbor:"6,keyasint,omitempty" json:"config,omitempty"`
-	Stopping         bool               `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
-	Ready            bool               `cbor:"8,keyasint,omitempty" json:"ready,omitempty"`
-	Statuses         []serverStatusForm `cbor:"9,keyasint,omitempty" json:"statuses,omitempty"`
-	Hub              bool               `cbor:"10,keyasint,omitempty" json:"hub,omitempty"`
-	Topics           []topicStateForm   `cbor:"11,keyasint,omitempty" json:"marks,omitempty"`
-	RequestRate      float64            `cbor:"12,keyasint,omitempty" json:"rate,omitempty"`
-	TotalRequestRate float64            `cbor:"13,keyasint,omitempty" json:"total,omitempty"`
-	CallsFailingFor  time.Duration      `cbor:"14,keyasint,omitempty" json:"unreached,omitempty"`
-	NeedsUpdate      bool               `cbor:"15,keyasint,omitempty" json:"lacking,omitempty"`
-	CutOffNodes      []string           `cbor:"16,keyasint,omitempty" json:"blind,omitempty"`
-	RosterVersion    uint64             `cbor:"17,keyasint,omitempty" json:"roster,omitempty"`
-	RosterBase       uint64             `cbor:"18,keyasint,omitempty" json:"base,omitempty"`
-	HasRoster        bool               `cbor:"19,keyasint,omitempty" json:"listing,omitempty"`
-	RosterAdded      []string           `cbor:"20,keyasint,omitempty" json:"live,omitempty"`
-	RosterRemoved    []string           `cbor:"21,keyasint,omitempty" json:"gone,omitempty"`
-	RosterAcked      uint64             `cbor:"22,keyasint,omitempty" json:"holds,omitempty"`
+	From             memberForm          `cbor:"1,keyasint,omitempty" json:"from,omitempty"`
+	Sent             time.Duration       `cbor:"2,keyasint,omitempty" json:"sent,omitempty"`
+	Echo             time.Duration       `cbor:"3,keyasint,omitempty" json:"echo,omitempty"`
+	EchoStartID      uint64              `cbor:"4,keyasint,omitempty" json:"echo_start,omitempty"`
+	PlacementVersion uint64              `cbor:"5,keyasint,omitempty" json:"placement,omitempty"`
+	ConfigRevision   uint64              `cbor:"6,keyasint,omitempty" json:"config,omitempty"`
+	Stopping         bool                `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
+	Ready            bool                `cbor:"8,keyasint,omitempty" json:"ready,omitempty"`
+	Statuses         []serverStatusForm  `cbor:"9,keyasint,omitempty" json:"statuses,omitempty"`
+	Hub              bool                `cbor:"10,keyasint,omitempty" json:"hub,omitempty"`
+	Topics           []topicStateForm    `cbor:"11,keyasint,omitempty" json:"marks,omitempty"`
+	RequestRate      float64             `cbor:"12,keyasint,omitempty" json:"rate,omitempty"`
+	TotalRequestRate float64             `cbor:"13,keyasint,omitempty" json:"total,omitempty"`
+	CallsFailingFor  time.Duration       `cbor:"14,keyasint,omitempty" json:"unreached,omitempty"`
+	NeedsUpdate      bool                `cbor:"15,keyasint,omitempty" json:"lacking,omitempty"`
+	CutOffNodes      []string            `cbor:"16,keyasint,omitempty" json:"blind,omitempty"`
+	RosterVersion    uint64              `cbor:"17,keyasint,omitempty" json:"roster,omitempty"`
+	RosterBase       uint64              `cbor:"18,keyasint,omitempty" json:"base,omitempty"`
+	HasRoster        bool                `cbor:"19,keyasint,omitempty" json:"listing,omitempty"`
+	RosterAdded      []string            `cbor:"20,keyasint,omitempty" json:"live,omitempty"`
+	RosterRemoved    []string            `cbor:"21,keyasint,omitempty" json:"gone,omitempty"`
+	RosterAcked      uint64              `cbor:"22,keyasint,omitempty" json:"holds,omitempty"`
+	RolloutReports   []rolloutReportForm `cbor:"23,keyasint,omitempty" json:"reports,omitempty"`
+	RolloutGrants    []rolloutGrantForm  `cbor:"24,keyasint,omitempty" json:"grants,omitempty"`
 }
 
 func toHeartbeat(v lagoon.Heartbeat) heartbeatForm {
@@ -437,6 +477,8 @@
 		RosterAdded:      v.RosterAdded(),
 		RosterRemoved:    v.RosterRemoved(),
 		RosterAcked:      v.RosterAcked(),
+		RolloutReports:   each(v.RolloutReports(), toRolloutReport),
+		RolloutGrants:    each(v.RolloutGrants(), toRolloutGrant),
 	}
 }
 
@@ -464,6 +506,116 @@
 	v.SetRosterAdded(m.RosterAdded)
 	v.SetRosterRemoved(m.RosterRemoved)
 	v.SetRosterAcked(m.RosterAcked)
+	v.SetRolloutReports(each(m.RolloutReports, fromRolloutReport))
+	v.SetRolloutGrants(each(m.RolloutGrants, fromRolloutGrant))
+	return v
+}
+
+// rolloutCountsForm is the wire form of lagoon.RolloutCounts.
+type rolloutCountsForm struct {
+	Route     string `cbor:"1,keyasint,omitempty" json:"route,omitempty"`
+	Old       uint64 `cbor:"2,keyasint,omitempty" json:"old,omitempty"`
+	OldBad    uint64 `cbor:"3,keyasint,omitempty" json:"old_bad,omitempty"`
+	Target    uint64 `cbor:"4,keyasint,omitempty" json:"target,omitempty"`
+	TargetBad uint64 `cbor:"5,keyasint,omitempty" json:"target_bad,omitempty"`
+}
+
+func toRolloutCounts(v lagoon.RolloutCounts) rolloutCountsForm {
+	return rolloutCountsForm{
+		Route:     v.Route(),
+		Old:       v.Old(),
+		OldBad:    v.OldBad(),
+		Target:    v.Target(),
+		TargetBad: v.TargetBad(),
+	}
+}
+
+func fromRolloutCounts(m rolloutCountsForm) lagoon.RolloutCounts {
+	var v lagoon.RolloutCounts
+	v.SetRoute(m.Route)
+	v.SetOld(m.Old)
+	v.SetOldBad(m.OldBad)
+	v.SetTarget(m.Target)
+	v.SetTargetBad(m.TargetBad)
+	return v
+}
+
+// rolloutReportForm is the wire form of lagoon.RolloutReport.
+type rolloutReportForm struct {
+	Service       string              `cbor:"1,keyasint,omitempty" json:"service,omitempty"`
+	TargetVersion string              `cbor:"2,keyasint,omitempty" json:"target,omitempty"`
+	Revision      uint64              `cbor:"3,keyasint,omitempty" json:"revision,omitempty"`
+	Age           time.Duration       `cbor:"4,keyasint,omitempty" json:"age,omitempty"`
+	Counts        []rolloutCountsForm `cbor:"5,keyasint,omitempty" json:"counts,omitempty"`
+	Switched      bool                `cbor:"6,keyasint,omitempty" json:"switched,omitempty"`
+	Rejected      bool                `cbor:"7,keyasint,omitempty" json:"rejected,omitempty"`
+}
+
+func toRolloutReport(v lagoon.RolloutReport) rolloutReportForm {
+	return rolloutReportForm{
+		Service:       v.Service(),
+		TargetVersion: v.TargetVersion(),
+		Revision:      v.Revision(),
+		Age:           v.Age(),
+		Counts:        each(v.Counts(), toRolloutCounts),
+		Switched:      v.Switched(),
+		Rejected:      v.Rejected(),
+	}
+}
+
+func fromRolloutReport(m rolloutReportForm) lagoon.RolloutReport {
+	var v lagoon.RolloutReport
+	v.SetService(m.Service)
+	v.SetTargetVersion(m.TargetVersion)
+	v.SetRevision(m.Revision)
+	v.SetAge(m.Age)
+	v.SetCounts(each(m.Counts, fromRolloutCounts))
+	v.SetSwitched(m.Switched)
+	v.SetRejected(m.Rejected)
+	return v
+}
+
+// rolloutGrantForm is the wire form of lagoon.RolloutGrant.
+type rolloutGrantForm struct {
+	Service       string        `cbor:"1,keyasint,omitempty" json:"service,omitempty"`
+	TargetVersion string        `cbor:"2,keyasint,omitempty" json:"target,omitempty"`
+	Revision      uint64        `cbor:"3,keyasint,omitempty" json:"revision,omitempty"`
+	Echo          time.Duration `cbor:"4,keyasint,omitempty" json:"echo,omitempty"`
+	Share         float64       `cbor:"5,keyasint,omitempty" json:"share,omitempty"`
+	Shift         bool          `cbor:"6,keyasint,omitempty" json:"shift,omitempty"`
+	Rejected      bool          `cbor:"7,keyasint,omitempty" json:"rejected,omitempty"`
+	TargetFor     time.Duration `cbor:"8,keyasint,omitempty" json:"target_for,omitempty"`
+	OldFor        time.Duration `cbor:"9,keyasint,omitempty" json:"old_for,omitempty"`
+	BadLimit      uint64        `cbor:"10,keyasint,omitempty" json:"bad_limit,omitempty"`
+}
+
+func toRolloutGrant(v lagoon.RolloutGrant) rolloutGrantForm {
+	return rolloutGrantForm{
+		Service:       v.Service(),
+		TargetVersion: v.TargetVersion(),
+		Revision:      v.Revision(),
+		Echo:          v.Echo(),
+		Share:         v.Share(),
+		Shift:         v.Shift(),
+		Rejected:      v.Rejected(),
+		TargetFor:     v.TargetFor(),
+		OldFor:        v.OldFor(),
+		BadLimit:      v.BadLimit(),
+	}
+}
+
+func fromRolloutGrant(m rolloutGrantForm) lagoon.RolloutGrant {
+	var v lagoon.RolloutGrant
+	v.SetService(m.Service)
+	v.SetTargetVersion(m.TargetVersion)
+	v.SetRevision(m.Revision)
+	v.SetEcho(m.Echo)
+	v.SetShare(m.Share)
+	v.SetShift(m.Shift)
+	v.SetRejected(m.Rejected)
+	v.SetTargetFor(m.TargetFor)
+	v.SetOldFor(m.OldFor)
+	v.SetBadLimit(m.BadLimit)
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -43,6 +43,45 @@
 	rosterAdded      []string       // the names of nodes added to the roster, or of all nodes in it; json:"live"
 	rosterRemoved    []string       // the names of nodes removed from the roster; json:"gone"
 	rosterAcked      uint64         // the version of the recipient's roster that the sender has; json:"holds"
+
+	rolloutReports []RolloutReport // what the sender saw of both versions in the open roll-outs; json:"reports"
+	rolloutGrants  []RolloutGrant  // the recipient's permissions in the open roll-outs, from the decider; json:"grants"
+}
+
+// RolloutCounts counts the responses of one route and service in a roll-out since the sender
+// learned of the order. A bad response is a failure or several times slower than usual.
+type RolloutCounts struct {
+	route     string // the route name
+	old       uint64 // the responses of the old versions
+	oldBad    uint64 // the bad ones of these
+	target    uint64 // the responses of the target version
+	targetBad uint64 // the bad ones of these
+}
+
+// RolloutReport is what one node saw of a roll-out.
+type RolloutReport struct {
+	service       string          // the service name
+	targetVersion string          // the target version; json:"target"
+	revision      uint64          // the revision of the order that the sender has
+	age           time.Duration   // the time since the sender learned of the order
+	counts        []RolloutCounts // the responses by route
+	switched      bool            // whether the sender sends nothing to the old versions and has no such request in flight
+	rejected      bool            // whether a decider told the sender that the target version is bad
+}
+
+// RolloutGrant permits a node to use the versions of a service for a time that counts from
+// the heartbeat that it answers.
+type RolloutGrant struct {
+	service       string        // the service name
+	targetVersion string        // the target version; json:"target"
+	revision      uint64        // the revision of the order that the decider has
+	echo          time.Duration // the send time of the heartbeat with the report that the grant answers, on the recipient's clock
+	share         float64       // the share of the attempts that go to the target version, 0 to 1
+	shift         bool          // whether all attempts go to the target version
+	rejected      bool          // whether the target version is bad and must not be used
+	targetFor     time.Duration // how long the target version may be used; 0 for not at all
+	oldFor        time.Duration // how long the old versions may be used
+	badLimit      uint64        // the number of bad responses after the report at which the node stops using the target; 0 for no limit
 }
 
 // TopicState is a hub's state of one registry topic.
