Roll out versions by grants of the first hub and split the attempts

Cause: orders were read but not acted on. Change: internal/direct/ctrl/rollo decides at the first hub that hears most nodes, ctrl/tells carries counts up and shares with leases down in heartbeats, the view has the terms of each service in a roll-out, and trfc/versn splits first attempts, retries, hedges and shards accordingly. permit checks the terms once more right before a send. publsh leaves out the servers of the version that lost, and those of a new version until the orders are known up to their announcement.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
@@ -65,7 +66,10 @@
 		updateRequestRate(s, now-s.HeartbeatsSentAt())
 		s.SetHeartbeatsSentAt(now)
 		send(s, now)
+	} else if s.HeartbeatsDue() {
+		send(s, now)
 	}
+	s.SetHeartbeatsDue(false)
 }
 
 // interval returns the time between two heartbeats. A starting node sends them
@@ -105,6 +109,7 @@
 	row.SetRequestRate(m.RequestRate())
 	row.SetTotalRequestRate(m.TotalRequestRate())
 	applyRoster(row, m, now)
+	tells.Receive(s, m, now)
 	if m.Hub() {
 		applyHubState(s, m, now)
 	}
@@ -251,6 +256,7 @@
 	heartbeat.SetRequestRate(s.RequestRate())
 	heartbeat.SetCallsFailingFor(callsFailingFor(s, now))
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
+	heartbeat.SetRolloutReports(tells.Reports(s, now))
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
@@ -276,6 +282,7 @@
 // roster, as its version is not known. live is the content of the roster.
 func heartbeatFor(s *state.State, row *peers.Row, heartbeat lagoon.Heartbeat, live []string, now time.Duration) *lagoon.Heartbeat {
 	heartbeat.SetRosterAcked(row.RosterVersion())
+	heartbeat.SetRolloutGrants(tells.GrantsFor(s, row.Member().Name(), now))
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -33,6 +33,44 @@
 	s.Record("hub", s.Self().Name(), fmt.Sprintf("hub %t: whether this node watches the registry on behalf of the others", hub))
 }
 
+// IsFirstHub reports whether this node is the first hub in the common order that has sent a
+// heartbeat within HubTimeout.
+func IsFirstHub(s *state.State, now time.Duration) bool {
+	if !s.Hub() {
+		return false
+	}
+	for _, name := range preferredHubs(s, now) {
+		if name == s.Self().Name() {
+			return true
+		}
+		if row, ok := s.Peers().Find(name); ok && row.Hub() && !row.Stopping() && heartbeatWithin(row, now, HubTimeout) {
+			return false
+		}
+	}
+	return false
+}
+
+// HearsMost reports whether this node hears more than half of the nodes that may be running.
+// Two nodes that do not hear each other cannot both do so for long.
+func HearsMost(s *state.State, now time.Duration) bool {
+	running, heard := 1, 1
+	for i := range s.Peers().Len() {
+		row := s.Peers().At(i)
+		if !mayBeRunning(row, now) {
+			continue
+		}
+		running++
+		if heartbeatWithin(row, now, NodeTimeout) {
+			heard++
+		}
+	}
+	return 2*heard > running
+}
+
+// MayBeRunning reports whether a node announced itself, sent a heartbeat or counted as live so
+// recently that it may be running.
+func MayBeRunning(row *peers.Row, now time.Duration) bool { return mayBeRunning(row, now) }
+
 // preferredHubs returns the first live nodes in an order that spreads them over
 // the availability zones and puts those with the most cores first, as a hub's
 // traffic grows with the number of nodes. A node that is not ready yet is included if
--- a/internal/direct/ctrl/ctrl.go
+++ b/internal/direct/ctrl/ctrl.go
@@ -14,6 +14,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/publsh"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/pull"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/push"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/rollo"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
@@ -22,6 +23,7 @@
 	return []lagoon.System[*state.State]{
 		ingest.System{},
 		push.System{},
+		rollo.System{},
 		beats.System{},
 		pull.System{},
 		expire.System{},
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -47,6 +47,7 @@
 	responseTime      time.Duration                         // of the registry; 10 ms if 0
 	pushDelay         func() time.Duration                  // until a push arrives, while heartbeats arrive at once; nil for no delay
 	delayed           []delivery                            // the pushes on their way
+	rollouts          *rollouts                             // the orders to roll out versions; nil in a deployment without them
 }
 
 // delivery is a message that arrives later.
@@ -149,6 +150,9 @@
 	control.SetHubWait(f.hubWait)
 	control.SetSystems(ctrl.Systems())
 	control.SetRunner(n.call)
+	if f.rollouts != nil {
+		f.rollouts.enable(n)
+	}
 	f.revision++
 	f.members[name], f.memberRevisions[name] = n.self, f.revision
 	for i, old := range f.nodes {
@@ -255,6 +259,8 @@
 				update.SetMembers(append(update.Members(), m))
 			}
 		}
+	case lagoon.TopicRollouts:
+		f.rollouts.changes(&update, after)
 	}
 	return update
 }
@@ -297,7 +303,7 @@
 // hasChanges reports whether an update contains changes.
 func hasChanges(update lagoon.RegistryUpdate) bool {
 	catalog := update.Catalog()
-	return catalog.Revision() > 0 || len(update.Replicas())+len(update.Members())+len(update.Zones())+len(update.Removed()) > 0
+	return catalog.Revision() > 0 || len(update.Replicas())+len(update.Members())+len(update.Zones())+len(update.Removed())+len(update.Rollouts()) > 0
 }
 
 // run advances virtual time.
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -38,7 +38,7 @@
 	v := &view.View{}
 	v.SetSelf(s.Self())
 	v.SetCatalog(s.Catalog())
-	v.SetSynced(s.CatalogKnown() && s.ServersKnown())
+	v.SetSynced(s.CatalogKnown() && s.ServersKnown() && rolloutsKnown(s))
 	v.SetRegistryReachable(s.RegistryReachable())
 	v.SetRosterKnown(s.RosterKnown())
 	v.SetStopping(s.Stopping())
@@ -46,6 +46,7 @@
 	v.SetStopAt(s.StopAt())
 	setCatalog(s, v)
 	setServers(s, v, now)
+	setTerms(s, v)
 	setMembers(s, v)
 	s.PublishedView().Store(v)
 }
@@ -93,9 +94,13 @@
 	byService := map[string][]lagoon.Replica{}
 	ids := map[string]bool{}
 	coldUntil, usableUntil := map[string]time.Duration{}, map[string]time.Duration{}
+	settled := settledVersions(s)
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
 		replica := row.Replica()
+		if !versionUsable(s, settled, &replica) {
+			continue
+		}
 		if s.ZonesOut()[replica.Zone()] || (row.UsableUntil() > 0 && now >= row.UsableUntil()) {
 			continue
 		}
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -6,6 +6,7 @@
 import "sync/atomic"
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/internal/direct/tally"
 import "github.com/lagoontrail/lagoon/internal/direct/view"
 
 // Clock returns the clock.
@@ -106,6 +107,18 @@
 // SetView sets the view in force in this tick.
 func (v *Loop) SetView(x *view.View) { v.view = x }
 
+// Tally returns the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *Loop) Tally() *tally.Tally { return v.tally }
+
+// SetTally sets the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *Loop) SetTally(x *tally.Tally) { v.tally = x }
+
+// SplitView returns the view whose roll-outs are counted.
+func (v *Loop) SplitView() *view.View { return v.splitView }
+
+// SetSplitView sets the view whose roll-outs are counted.
+func (v *Loop) SetSplitView(x *view.View) { v.splitView = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -28,9 +28,12 @@
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/split"
 	"github.com/lagoontrail/lagoon/internal/direct/stats"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/internal/direct/usual"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/rows"
@@ -60,6 +63,8 @@
 	drainTime     time.Duration                                              // for which a server serves after it said that it leaves; 0 means the default
 	extraWindow   time.Duration                                              // the length of the window that ExtraSlack applies to
 	view          *view.View                                                 // the view in force in this tick
+	tally         *tally.Tally                                               // the responses by version in the open roll-outs; nil if the deployment has none
+	splitView     *view.View                                                 // the view whose roll-outs are counted
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
@@ -78,6 +83,8 @@
 	pauses     rows.Table[pauses.Row]
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
+	splits     rows.Table[split.Row]
+	usual      rows.Table[usual.Row]
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -139,6 +146,12 @@
 // Budgets returns the table of retry budgets.
 func (l *Loop) Budgets() *rows.Table[tokens.Row] { return &l.budgets }
 
+// Splits returns the table of services whose attempts are split between two versions.
+func (l *Loop) Splits() *rows.Table[split.Row] { return &l.splits }
+
+// Usual returns the table of the old versions' response times.
+func (l *Loop) Usual() *rows.Table[usual.Row] { return &l.usual }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -82,3 +82,21 @@
 
 // SetExtraWindow sets the length of the window that ExtraSlack applies to.
 func (v *Node) SetExtraWindow(x time.Duration) { v.extraWindow = x }
+
+// RegistryWriter returns what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) RegistryWriter() lagoon.RegistryWriter { return v.registryWriter }
+
+// SetRegistryWriter sets what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) SetRegistryWriter(x lagoon.RegistryWriter) { v.registryWriter = x }
+
+// ExposureShare returns the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) ExposureShare() float64 { return v.exposureShare }
+
+// SetExposureShare sets the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) SetExposureShare(x float64) { v.exposureShare = x }
+
+// RollbackTime returns after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) RollbackTime() time.Duration { return v.rollbackTime }
+
+// SetRollbackTime sets after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/permit"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
@@ -59,6 +60,10 @@
 	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
 	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
 
+	registryWriter lagoon.RegistryWriter // what writes the states of roll-outs; nil if the deployment has none
+	exposureShare  float64               // the share of a service's requests that an unproven version may get; 0 means the default
+	rollbackTime   time.Duration         // after the 50th bad response of a version within which requests to it must end; 0 means the default
+
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
 	controlMailbox *mbox.Mailbox
@@ -140,6 +145,15 @@
 	n.control.SetPublishedView(&n.publishedView)
 	n.control.SetTickedAt(&n.controlTick)
 	n.control.SetRegistryReachable(true)
+	if n.registryWriter != nil {
+		counts := &tally.Tally{}
+		n.control.EnableRollouts()
+		n.control.SetRegistryWriter(n.registryWriter)
+		n.control.SetExposureShare(n.exposureShare)
+		n.control.SetRollbackTime(n.rollbackTime)
+		n.control.SetTally(counts)
+		n.traffic.SetTally(counts)
+	}
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
 	n.traffic.SetPublishedView(&n.publishedView)
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -4,6 +4,7 @@
 
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/pkg/verdict"
 
 // Order returns the last valid order.
 func (v *Row) Order() lagoon.Rollout { return v.order }
@@ -95,11 +96,71 @@
 // SetSent sets the reports that a grant may still answer.
 func (v *Row) SetSent(x []Sent) { v.sent = x }
 
-// ShiftSentAt returns when the shift was published to traffic; 0 if it is not.
-func (v *Row) ShiftSentAt() time.Duration { return v.shiftSentAt }
+// Reports returns at a hub, the last report of each node.
+func (v *Row) Reports() map[string]*Report { return v.reports }
 
-// SetShiftSentAt sets when the shift was published to traffic; 0 if it is not.
-func (v *Row) SetShiftSentAt(x time.Duration) { v.shiftSentAt = x }
+// SetReports sets at a hub, the last report of each node.
+func (v *Row) SetReports(x map[string]*Report) { v.reports = x }
+
+// Pending returns at a hub, the responses by route that the test has not seen yet.
+func (v *Row) Pending() map[string]*lagoon.RolloutCounts { return v.pending }
+
+// SetPending sets at a hub, the responses by route that the test has not seen yet.
+func (v *Row) SetPending(x map[string]*lagoon.RolloutCounts) { v.pending = x }
+
+// Test returns at a hub, the test of the target version.
+func (v *Row) Test() *verdict.Test { return v.test }
+
+// SetTest sets at a hub, the test of the target version.
+func (v *Row) SetTest(x *verdict.Test) { v.test = x }
+
+// DecidedAt returns at a hub, when the order was last looked at.
+func (v *Row) DecidedAt() time.Duration { return v.decidedAt }
+
+// SetDecidedAt sets at a hub, when the order was last looked at.
+func (v *Row) SetDecidedAt(x time.Duration) { v.decidedAt = x }
+
+// Age returns at a hub, the longest time for which a node has known the order.
+func (v *Row) Age() time.Duration { return v.age }
+
+// SetAge sets at a hub, the longest time for which a node has known the order.
+func (v *Row) SetAge(x time.Duration) { v.age = x }
+
+// Deciding returns whether this node is the decider and grants.
+func (v *Row) Deciding() bool { return v.deciding }
+
+// SetDeciding sets whether this node is the decider and grants.
+func (v *Row) SetDeciding(x bool) { v.deciding = x }
+
+// NextShare returns the share that this node grants as the decider.
+func (v *Row) NextShare() float64 { return v.nextShare }
+
+// SetNextShare sets the share that this node grants as the decider.
+func (v *Row) SetNextShare(x float64) { v.nextShare = x }
+
+// NextShift returns whether it grants all attempts to the target version.
+func (v *Row) NextShift() bool { return v.nextShift }
+
+// SetNextShift sets whether it grants all attempts to the target version.
+func (v *Row) SetNextShift(x bool) { v.nextShift = x }
+
+// ShiftedAt returns when the share that it grants last changed, or it became the decider.
+func (v *Row) ShiftedAt() time.Duration { return v.shiftedAt }
+
+// SetShiftedAt sets when the share that it grants last changed, or it became the decider.
+func (v *Row) SetShiftedAt(x time.Duration) { v.shiftedAt = x }
+
+// NoOldSince returns since when no old server was announced; 0 if one is.
+func (v *Row) NoOldSince() time.Duration { return v.noOldSince }
+
+// SetNoOldSince sets since when no old server was announced; 0 if one is.
+func (v *Row) SetNoOldSince(x time.Duration) { v.noOldSince = x }
+
+// Waiting returns whether the order waits for servers of the target.
+func (v *Row) Waiting() bool { return v.waiting }
+
+// SetWaiting sets whether the order waits for servers of the target.
+func (v *Row) SetWaiting(x bool) { v.waiting = x }
 
 // Writing returns whether a write of the order's state is in progress.
 func (v *Row) Writing() bool { return v.writing }
@@ -107,6 +168,36 @@
 // SetWriting sets whether a write of the order's state is in progress.
 func (v *Row) SetWriting(x bool) { v.writing = x }
 
+// WrittenState returns the state that was written last.
+func (v *Row) WrittenState() lagoon.RolloutState { return v.writtenState }
+
+// SetWrittenState sets the state that was written last.
+func (v *Row) SetWrittenState(x lagoon.RolloutState) { v.writtenState = x }
+
+// WrittenAt returns when it was written.
+func (v *Row) WrittenAt() time.Duration { return v.writtenAt }
+
+// SetWrittenAt sets when it was written.
+func (v *Row) SetWrittenAt(x time.Duration) { v.writtenAt = x }
+
+// Report returns the report.
+func (v *Report) Report() lagoon.RolloutReport { return v.report }
+
+// SetReport sets the report.
+func (v *Report) SetReport(x lagoon.RolloutReport) { v.report = x }
+
+// SentAt returns when it was sent, on the sender's clock.
+func (v *Report) SentAt() time.Duration { return v.sentAt }
+
+// SetSentAt sets when it was sent, on the sender's clock.
+func (v *Report) SetSentAt(x time.Duration) { v.sentAt = x }
+
+// At returns when it was received.
+func (v *Report) At() time.Duration { return v.at }
+
+// SetAt sets when it was received.
+func (v *Report) SetAt(x time.Duration) { v.at = x }
+
 // At returns the send time.
 func (v *Sent) At() time.Duration { return v.at }
 
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/verdict"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -41,9 +42,27 @@
 	badLimit    uint64        // the number of bad responses at which the node stops using the target; 0 for no limit
 	sent        []Sent        // the reports that a grant may still answer
 
-	shiftSentAt time.Duration // when the shift was published to traffic; 0 if it is not
+	reports      map[string]*Report               // at a hub, the last report of each node
+	pending      map[string]*lagoon.RolloutCounts // at a hub, the responses by route that the test has not seen yet
+	test         *verdict.Test                    // at a hub, the test of the target version
+	decidedAt    time.Duration                    // at a hub, when the order was last looked at
+	age          time.Duration                    // at a hub, the longest time for which a node has known the order
+	deciding     bool                             // whether this node is the decider and grants
+	nextShare    float64                          // the share that this node grants as the decider
+	nextShift    bool                             // whether it grants all attempts to the target version
+	shiftedAt    time.Duration                    // when the share that it grants last changed, or it became the decider
+	noOldSince   time.Duration                    // since when no old server was announced; 0 if one is
+	waiting      bool                             // whether the order waits for servers of the target
+	writing      bool                             // whether a write of the order's state is in progress
+	writtenState lagoon.RolloutState              // the state that was written last
+	writtenAt    time.Duration                    // when it was written
+}
 
-	writing bool // whether a write of the order's state is in progress
+// Report is the last report of one node.
+type Report struct {
+	report lagoon.RolloutReport // the report
+	sentAt time.Duration        // when it was sent, on the sender's clock
+	at     time.Duration        // when it was received
 }
 
 // Sent is one report that was sent.
@@ -55,6 +74,47 @@
 // NewSent returns the record of a report.
 func NewSent(at time.Duration, bad uint64) Sent { return Sent{at: at, bad: bad} }
 
+// Receive takes in the report of a node. Counts that are lower than before are those of a new
+// run of the node.
+func (r *Row) Receive(node string, report lagoon.RolloutReport, sentAt, now time.Duration) {
+	if r.reports == nil {
+		r.reports, r.pending = map[string]*Report{}, map[string]*lagoon.RolloutCounts{}
+	}
+	old, ok := r.reports[node]
+	if !ok {
+		old = &Report{}
+		r.reports[node] = old
+	}
+	for _, counts := range report.Counts() {
+		r.addPending(counts, previousCounts(old.report.Counts(), counts))
+	}
+	old.report, old.sentAt, old.at = report, sentAt, now
+	r.age = max(r.age, report.Age())
+}
+
+// previousCounts returns the earlier counts of the same route and run, or the zero value.
+func previousCounts(earlier []lagoon.RolloutCounts, counts lagoon.RolloutCounts) lagoon.RolloutCounts {
+	for _, c := range earlier {
+		if c.Route() == counts.Route() && c.Old() <= counts.Old() && c.Target() <= counts.Target() && c.OldBad() <= counts.OldBad() && c.TargetBad() <= counts.TargetBad() {
+			return c
+		}
+	}
+	return lagoon.RolloutCounts{}
+}
+
+func (r *Row) addPending(counts, previous lagoon.RolloutCounts) {
+	p, ok := r.pending[counts.Route()]
+	if !ok {
+		p = &lagoon.RolloutCounts{}
+		p.SetRoute(counts.Route())
+		r.pending[counts.Route()] = p
+	}
+	p.SetOld(p.Old() + counts.Old() - previous.Old())
+	p.SetOldBad(p.OldBad() + counts.OldBad() - previous.OldBad())
+	p.SetTarget(p.Target() + counts.Target() - previous.Target())
+	p.SetTargetBad(p.TargetBad() + counts.TargetBad() - previous.TargetBad())
+}
+
 // Open reports whether the order exists and has not ended.
 func (r *Row) Open() bool {
 	return r.order.TargetVersion() != "" && r.withdrawnUntil == 0 && !r.order.State().Closed()
--- a/internal/direct/permit/permit.go
+++ b/internal/direct/permit/permit.go
@@ -56,5 +56,8 @@
 	if until := v.UsableUntilOf(replica.ID()); until > 0 && now >= until {
 		return errors.Errorf("the server is leaving and was usable until %s earlier", (now - until).Round(time.Millisecond))
 	}
+	if t := v.TermsOf(replica.Service()); t != nil && !t.MayUse(replica.Version(), now) {
+		return errors.Errorf("version %q may not be used: target %q until %s, others from %s until %s, now %s", replica.Version(), t.Target(), t.TargetUntil(), t.OldFrom(), t.OldUntil(), now)
+	}
 	return nil
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -248,6 +248,12 @@
 // SetHeartbeats sets the heartbeats received in this tick.
 func (v *State) SetHeartbeats(x []*lagoon.Heartbeat) { v.heartbeats = x }
 
+// HeartbeatsDue returns whether heartbeats are to be sent in this tick, in addition to the regular ones.
+func (v *State) HeartbeatsDue() bool { return v.heartbeatsDue }
+
+// SetHeartbeatsDue sets whether heartbeats are to be sent in this tick, in addition to the regular ones.
+func (v *State) SetHeartbeatsDue(x bool) { v.heartbeatsDue = x }
+
 // ExposureShare returns the share of a service's requests that an unproven version may get.
 func (v *State) ExposureShare() float64 { return v.exposureShare }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -79,6 +79,7 @@
 	pushes            []*lagoon.RegistryPush                                                                  // the updates that hubs pushed, received in this tick
 	updates           []lagoon.RegistryUpdate                                                                 // the updates read from the registry in this tick
 	heartbeats        []*lagoon.Heartbeat                                                                     // the heartbeats received in this tick
+	heartbeatsDue     bool                                                                                    // whether heartbeats are to be sent in this tick, in addition to the regular ones
 	exposureShare     float64                                                                                 // the share of a service's requests that an unproven version may get
 	rollbackTime      time.Duration                                                                           // after the 50th bad response of a version within which requests to it must end
 	registryWriter    lagoon.RegistryWriter                                                                   // what writes the states of roll-outs; nil if the deployment has none
--- a/internal/direct/trfc/choose/choose.go
+++ b/internal/direct/trfc/choose/choose.go
@@ -23,6 +23,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 )
 
 // Time constants of the exponential decay of observations.
@@ -56,8 +57,18 @@
 	returnsAt time.Duration  // when the first pause ends of the servers that cannot be used only because they pause; 0 for none
 }
 
-// Best chooses the best usable server.
+// Best chooses the best usable server. In a roll-out it is one of the version that is next.
 func Best(l *loop.Loop, shard *shards.Row, req *reqs.Row, now time.Duration) Choice {
+	first, second := versn.Sides(l, shard.Service(), now)
+	c := bestOf(l, shard, req, first, now)
+	if !c.found && second != versn.None {
+		c = bestOf(l, shard, req, second, now)
+	}
+	return c
+}
+
+// bestOf chooses the best usable server of one side of a roll-out.
+func bestOf(l *loop.Loop, shard *shards.Row, req *reqs.Row, side versn.Side, now time.Duration) Choice {
 	view := l.View()
 	servers := view.ServersOf(shard.Service())
 	self := view.Self()
@@ -65,6 +76,9 @@
 	lowestCost, bestRank := math.Inf(1), rankPaused
 	for i := range servers {
 		r := &servers[i]
+		if side != versn.All && !side.Allows(l, r) {
+			continue
+		}
 		h := HealthOf(l, r)
 		rank := rankOf(l, shard, req, r, h, now)
 		if rank == rankPaused {
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -30,6 +30,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
@@ -261,6 +262,7 @@
 	attempt.SetRoute(req.Route().Name())
 	attempt.SetSentAt(now)
 	attempt.SetParallel(shard.Inflight() > 0)
+	versn.Started(l, attempt, &r, now)
 	shard.SetAttemptPending(false)
 	shard.SetState(shards.Running)
 	shard.SetNeedsToken(false)
--- a/internal/direct/trfc/trfc.go
+++ b/internal/direct/trfc/trfc.go
@@ -18,6 +18,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/result"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/sched"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/stops"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 )
 
 // Systems returns a new list of the traffic systems.
@@ -25,6 +26,7 @@
 	return []lagoon.System[*loop.Loop]{
 		leave.System{},
 		pause.System{},
+		versn.System{},
 		result.System{},
 		admit.System{},
 		stops.System{},
--- a/internal/direct/tries/accessors_gen.go
+++ b/internal/direct/tries/accessors_gen.go
@@ -89,3 +89,27 @@
 
 // SetRequestDone sets whether the request ended before the attempt.
 func (v *Row) SetRequestDone(x bool) { v.requestDone = x }
+
+// VersionOrder returns the order of a roll-out that it is counted for; 0 for none.
+func (v *Row) VersionOrder() uint64 { return v.versionOrder }
+
+// SetVersionOrder sets the order of a roll-out that it is counted for; 0 for none.
+func (v *Row) SetVersionOrder(x uint64) { v.versionOrder = x }
+
+// ToTarget returns whether the server has the target version of that order.
+func (v *Row) ToTarget() bool { return v.toTarget }
+
+// SetToTarget sets whether the server has the target version of that order.
+func (v *Row) SetToTarget(x bool) { v.toTarget = x }
+
+// Cold returns whether the server was cold at its start, for an attempt that is counted.
+func (v *Row) Cold() bool { return v.cold }
+
+// SetCold sets whether the server was cold at its start, for an attempt that is counted.
+func (v *Row) SetCold(x bool) { v.cold = x }
+
+// Uncounted returns whether its response is not counted, because it started before the order.
+func (v *Row) Uncounted() bool { return v.uncounted }
+
+// SetUncounted sets whether its response is not counted, because it started before the order.
+func (v *Row) SetUncounted(x bool) { v.uncounted = x }
--- a/internal/direct/tries/tries.go
+++ b/internal/direct/tries/tries.go
@@ -34,4 +34,8 @@
 	result        lagoon.AttemptResult // the result, once the attempt has ended
 	elapsed       time.Duration        // the time from the start to the end
 	requestDone   bool                 // whether the request ended before the attempt
+	versionOrder  uint64               // the order of a roll-out that it is counted for; 0 for none
+	toTarget      bool                 // whether the server has the target version of that order
+	cold          bool                 // whether the server was cold at its start, for an attempt that is counted
+	uncounted     bool                 // whether its response is not counted, because it started before the order
 }
--- a/internal/direct/view/accessors_gen.go
+++ b/internal/direct/view/accessors_gen.go
@@ -4,6 +4,7 @@
 
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/internal/direct/terms"
 
 // Self returns this node.
 func (v *View) Self() lagoon.Member { return v.self }
@@ -100,3 +101,9 @@
 
 // SetStopAt sets when the node ends the requests in progress because it is stopping; 0 if it is not.
 func (v *View) SetStopAt(x time.Duration) { v.stopAt = x }
+
+// VersionTerms returns the terms of each service with an open roll-out.
+func (v *View) VersionTerms() map[string]*terms.Terms { return v.versionTerms }
+
+// SetVersionTerms sets the terms of each service with an open roll-out.
+func (v *View) SetVersionTerms(x map[string]*terms.Terms) { v.versionTerms = x }
--- a/internal/direct/view/view.go
+++ b/internal/direct/view/view.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/terms"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -39,6 +40,7 @@
 	stopping          bool                        // whether this node is stopping
 	refuseAt          time.Duration               // from when the node refuses all new requests because it is stopping; 0 if it is not
 	stopAt            time.Duration               // when the node ends the requests in progress because it is stopping; 0 if it is not
+	versionTerms      map[string]*terms.Terms     // the terms of each service with an open roll-out
 }
 
 // FindRoute returns the route of a host with the longest matching path prefix.
@@ -61,5 +63,9 @@
 // The view may be older than that when a paused process continues.
 func (v *View) UsableUntilOf(id string) time.Duration { return v.usableUntil[id] }
 
+// TermsOf returns the terms on which the versions of a service may be used, or nil if it has no
+// open roll-out.
+func (v *View) TermsOf(service string) *terms.Terms { return v.versionTerms[service] }
+
 // ColdUntilOf returns the end of a server's cold phase, or 0 if it is not cold.
 func (v *View) ColdUntilOf(id string) time.Duration { return v.coldUntil[id] }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -21,7 +21,7 @@
 // Parameters of the test. TestErrorRates measures what they lead to.
 const (
 	threshold     = 10.0             // log-likelihood ratio at which the target is rejected
-	maxStep       = 4.0              // the most that one observation adds, so that one pause of a server rejects nothing
+	maxStep       = 5.5              // the most that one observation adds, so that one pause of a server rejects nothing
 	doubtShare    = 1.0 / 3          // of the threshold, above which the target is in doubt
 	worseFactor   = 3.0              // the share of bad responses that is tested for, relative to that of the old versions
 	minBadShare   = 0.05             // the least share of bad responses that is tested for
