Test roll-outs under failures and keep completion irrevocable

Cause: in virtual time, nodes that were cut off in the shift used the old version again 5 s after their last report, 79 to 280 requests after completion; a node that was cut off before its first grant did so without end; and a node that forgot the others after 20 s granted to itself. Change: a node that reported that it does not use the old versions returns to them only after a later grant or by word of the registry, the lease of the old versions starts with the order, and the nodes of the last 10 minutes count for the majority.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -256,7 +256,7 @@
 	heartbeat.SetRequestRate(s.RequestRate())
 	heartbeat.SetCallsFailingFor(callsFailingFor(s, now))
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
-	heartbeat.SetRolloutReports(tells.Reports(s, now))
+	heartbeat.SetRolloutReports(tells.Reports(s, HasHub(s, now) || s.Hub(), now))
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -50,13 +50,14 @@
 	return false
 }
 
-// HearsMost reports whether this node hears more than half of the nodes that may be running.
-// Two nodes that do not hear each other cannot both do so for long.
+// HearsMost reports whether this node hears more than half of the nodes that announced
+// themselves or were live within isolationTimeout. The nodes of a part that is cut off count the
+// others for that time, so that only one part decides.
 func HearsMost(s *state.State, now time.Duration) bool {
 	running, heard := 1, 1
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
-		if !mayBeRunning(row, now) {
+		if last := max(row.KnownAt(), row.HeartbeatAt(), row.LiveAt()); last == 0 || now-last >= isolationTimeout {
 			continue
 		}
 		running++
--- a/internal/direct/ctrl/publsh/versions.go
+++ b/internal/direct/ctrl/publsh/versions.go
@@ -1,6 +1,8 @@
 package publsh
 
 import (
+	"math"
+
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/terms"
@@ -67,6 +69,9 @@
 		t.SetOrder(row.OpenedRevision())
 		t.SetOldUntil(row.OldUntil())
 		t.SetOldFrom(row.OldFrom())
+		if row.Committed() {
+			t.SetOldFrom(math.MaxInt64)
+		}
 		if !row.Rejected() {
 			t.SetShare(row.Share())
 			t.SetShift(row.Shift())
--- a/internal/direct/ctrl/rollout_sim_test.go
+++ b/internal/direct/ctrl/rollout_sim_test.go
@@ -243,6 +243,10 @@
 			usable[s.Version()] = true
 		}
 	}
+	target := ""
+	if t != nil {
+		target = t.Target()
+	}
 	version := "v1"
 	switch c := r.counters[n]; {
 	case len(usable) == 0:
@@ -250,24 +254,24 @@
 		return
 	case t == nil && usable["v2"]:
 		version = "v2"
-	case t != nil && usable["v2"] && (!usable["v1"] || c.Due(t.Share())):
-		version = "v2"
+	case usable[target] && (!usable["v1"] || c.Due(t.Share())):
+		version = target
 	case !usable["v1"]:
 		for v := range usable {
 			version = v
 		}
 	}
-	if t != nil && usable["v2"] && !t.Shift() {
-		r.counters[n].Count(t.Share(), version == "v2")
+	if usable[target] && !t.Shift() {
+		r.counters[n].Count(t.Share(), version == target)
 	}
-	r.respond(n, version)
+	r.respond(n, version, target)
 }
 
-func (r *rollouts) respond(n *node, version string) {
+// respond counts the response to a request. Figures of the target are those of v2.
+func (r *rollouts) respond(n *node, version, target string) {
 	now := r.f.now
-	target := version == "v2"
 	bad := r.rng.Float64() < r.usualBad
-	if target {
+	if version == "v2" {
 		r.target++
 		r.lastTarget = now
 		if bad = r.rng.Float64() < r.bad(now); bad {
@@ -279,11 +283,11 @@
 		if r.rolledBack > 0 {
 			r.targetAfterRollback = now
 		}
-	} else if r.completedAt > 0 {
+	} else if r.completedAt > 0 && version == "v1" {
 		r.oldAfterCompletion++
 	}
-	r.tallies[n].Sent("desk", target)
-	r.tallies[n].Ended("desk", "browse", target, true, bad)
+	r.tallies[n].Sent("desk", version == target)
+	r.tallies[n].Ended("desk", "browse", version == target, true, bad)
 }
 
 // state returns the state of the order in the registry.
--- a/internal/direct/ctrl/tells/tells.go
+++ b/internal/direct/ctrl/tells/tells.go
@@ -32,12 +32,20 @@
 )
 
 // Reports returns what this node reports on the open roll-outs, and remembers that it did.
-func Reports(s *state.State, now time.Duration) []lagoon.RolloutReport {
+// hubHeard says whether it hears a hub.
+func Reports(s *state.State, hubHeard bool, now time.Duration) []lagoon.RolloutReport {
 	var out []lagoon.RolloutReport
 	for i := range s.Orders().Len() {
-		if row := s.Orders().At(i); row.Open() && s.Tally() != nil {
-			out = append(out, report(s, row, now))
+		row := s.Orders().At(i)
+		if !row.Open() || s.Tally() == nil {
+			continue
 		}
+		if !row.Granted() && (row.OldUntil() == 0 || (hubHeard && s.RegistryReachable())) {
+			// Hubs of an earlier release grant nothing. The registry tells what became of the order.
+			row.SetOldUntil(now + OldLease)
+			s.SetViewStale(true)
+		}
+		out = append(out, report(s, row, now))
 	}
 	return out
 }
@@ -59,6 +67,7 @@
 	if row.Shift() && !row.Rejected() && now+commitMargin < row.TargetUntil() && counts.Switched() {
 		r.SetSwitched(true)
 		row.SetOldFrom(now + committedTime)
+		row.SetCommitted(true)
 		s.SetViewStale(true)
 	}
 	return r
@@ -153,6 +162,9 @@
 	row.SetGranted(true)
 	row.SetGrantEcho(g.Echo())
 	row.SetOldUntil(max(row.OldUntil(), g.Echo()+g.OldFor()))
+	if g.Rejected() || !g.Shift() {
+		row.SetCommitted(false)
+	}
 	if g.Rejected() || row.Rejected() {
 		row.SetRejected(true)
 		row.SetShare(0)
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -84,6 +84,12 @@
 // SetOldFrom sets from when the old versions may be used again after the node reported that it does not use them.
 func (v *Row) SetOldFrom(x time.Duration) { v.oldFrom = x }
 
+// Committed returns whether the node reported that it does not use the old versions, and no later grant took the shift back.
+func (v *Row) Committed() bool { return v.committed }
+
+// SetCommitted sets whether the node reported that it does not use the old versions, and no later grant took the shift back.
+func (v *Row) SetCommitted(x bool) { v.committed = x }
+
 // BadLimit returns the number of bad responses at which the node stops using the target; 0 for no limit.
 func (v *Row) BadLimit() uint64 { return v.badLimit }
 
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -39,6 +39,7 @@
 	targetUntil time.Duration // until when the target version may be used
 	oldUntil    time.Duration // until when the old versions may be used; 0 for no limit
 	oldFrom     time.Duration // from when the old versions may be used again after the node reported that it does not use them
+	committed   bool          // whether the node reported that it does not use the old versions, and no later grant took the shift back
 	badLimit    uint64        // the number of bad responses at which the node stops using the target; 0 for no limit
 	sent        []Sent        // the reports that a grant may still answer
 
