--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -164,6 +164,7 @@
 		enter(s, row, 1, true, now)
 	case part >= latePart && unreachable(row):
 		reject(s, row, "it gave no response, while the old versions gave more than "+fmt.Sprint(fewOld))
+	case now-row.ShiftedAt() < minShift: // a new decider has not received all counts yet
 	case part >= latePart, part >= shiftPart && !row.Test().InDoubt() && !unreachable(row):
 		enter(s, row, 1, true, now)
 	default:
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -72,6 +72,7 @@
 	running        atomic.Int64
 	requests       atomic.Int64
 	controlTick    atomic.Int64
+	tally          tally.Tally
 }
 
 // New returns a node whose dependencies are to be set before Serve is called. The
@@ -97,6 +98,9 @@
 	return permit.New(n.clock, &n.publishedView, &n.controlTick)
 }
 
+// Tally returns the responses by version in the open roll-outs.
+func (n *Node) Tally() *tally.Tally { return &n.tally }
+
 // Running returns the number of requests in progress.
 func (n *Node) Running() int64 { return n.running.Load() }
 
@@ -146,13 +150,12 @@
 	n.control.SetTickedAt(&n.controlTick)
 	n.control.SetRegistryReachable(true)
 	if n.registryWriter != nil {
-		counts := &tally.Tally{}
 		n.control.EnableRollouts()
 		n.control.SetRegistryWriter(n.registryWriter)
 		n.control.SetExposureShare(n.exposureShare)
 		n.control.SetRollbackTime(n.rollbackTime)
-		n.control.SetTally(counts)
-		n.traffic.SetTally(counts)
+		n.control.SetTally(&n.tally)
+		n.traffic.SetTally(&n.tally)
 	}
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
