Wait with the shift for reports of all nodes and free ended roll-outs

Cause: with hubs or nodes of an earlier release, an order stayed at running for good after its shift, while the decider itself sent everything to the target. Rows of ended orders were kept. Change: the shift waits until every node that is heard reports; an order is rolled back 30 s after its duration if nodes do not switch; traffic removes the rows of ended orders.

--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -44,6 +44,10 @@
 // Announcements that are lost in an outage of the registry return within it.
 const noOldWait = 5 * time.Second
 
+// overdueTime is the time after the duration at which an order is rolled back although all
+// attempts go to the target. The leases of silent nodes expire well within it.
+const overdueTime = 30 * time.Second
+
 // minShift is the shortest time between the shift and completion. A version that fails under the
 // whole load shows it in two looks.
 const minShift = 1200 * time.Millisecond
@@ -155,6 +159,8 @@
 	switch {
 	case row.NextShift() && targets == 0:
 		reject(s, row, "the servers of the target are gone")
+	case row.NextShift() && row.Age() >= order.Duration()+overdueTime:
+		reject(s, row, "some nodes did not stop using the old versions")
 	case row.NextShift():
 	case part >= 1:
 		reject(s, row, "it was not proven within the duration; "+row.Test().Evidence())
@@ -164,7 +170,9 @@
 		enter(s, row, 1, true, now)
 	case part >= latePart && unreachable(row):
 		reject(s, row, "it gave no response, while the old versions gave more than "+fmt.Sprint(fewOld))
-	case now-row.ShiftedAt() < minShift: // a new decider has not received all counts yet
+	case now-row.ShiftedAt() < minShift || (part >= shiftPart && !allReport(s, row, now)):
+		// A new decider has not received all counts yet, and a node that does not report would
+		// keep the order from being completed.
 	case part >= latePart, part >= shiftPart && !row.Test().InDoubt() && !unreachable(row):
 		enter(s, row, 1, true, now)
 	default:
--- a/internal/direct/ctrl/rollo/write.go
+++ b/internal/direct/ctrl/rollo/write.go
@@ -44,6 +44,21 @@
 	return true
 }
 
+// allReport reports whether each node that sends heartbeats has reported on the order lately. A
+// node of an earlier release does not.
+func allReport(s *state.State, row *orders.Row, now time.Duration) bool {
+	for i := range s.Peers().Len() {
+		peer := s.Peers().At(i)
+		if peer.HeartbeatAt() == 0 || now-peer.HeartbeatAt() >= beats.NodeTimeout {
+			continue
+		}
+		if report, ok := row.Reports()[peer.Member().Name()]; !ok || now-report.At() >= beats.NodeTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // switched reports whether a node's last report says that it does not use the old versions.
 func switched(row *orders.Row, node string, now time.Duration) bool {
 	report, ok := row.Reports()[node]
--- a/internal/direct/trfc/versions_test.go
+++ b/internal/direct/trfc/versions_test.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// Guards against memory that is kept for each service that ever had a roll-out.
+func TestEndedOrderLeavesNothing(t *testing.T) {
+	s, _ := newVersionSim(t, 6, 2, func(*terms.Terms) {})
+	s.runLoad(100, time.Second)
+	if s.loop.Splits().Len() != 2 || s.loop.Usual().Len() != 2 {
+		t.Fatalf("rows in the roll-out: got %d and %d, want 2 and 2", s.loop.Splits().Len(), s.loop.Usual().Len())
+	}
+	v := *s.publishedView.Load()
+	v.SetVersionTerms(nil)
+	s.publishedView.Store(&v)
+	s.runLoad(100, time.Second)
+	if s.loop.Splits().Len()+s.loop.Usual().Len() > 0 {
+		t.Errorf("rows after the roll-out: got %d and %d, want none", s.loop.Splits().Len(), s.loop.Usual().Len())
+	}
+}
+
 // BenchmarkSides measures what a roll-out adds to the choice of a server.
 func BenchmarkSides(b *testing.B) {
 	s, _ := newVersionSim(b, 1, 1, func(*terms.Terms) {})
--- a/internal/direct/trfc/versn/versn.go
+++ b/internal/direct/trfc/versn/versn.go
@@ -108,6 +108,7 @@
 		return
 	}
 	l.SetSplitView(l.View())
+	removeEnded(l)
 	for service, t := range l.View().VersionTerms() {
 		row := l.Splits().Ensure(service)
 		if row.Order() != t.Order() {
@@ -119,6 +120,21 @@
 	}
 }
 
+// removeEnded removes the rows of the services whose order has ended, which hold a histogram for
+// each route.
+func removeEnded(l *loop.Loop) {
+	for i := l.Splits().Len() - 1; i >= 0; i-- {
+		if service := l.Splits().Key(i); l.View().TermsOf(service) == nil {
+			l.Splits().RemoveKey(service)
+			for j := l.Usual().Len() - 1; j >= 0; j-- {
+				if key := l.Usual().Key(j); usual.ServiceOf(key) == service {
+					l.Usual().RemoveKey(key)
+				}
+			}
+		}
+	}
+}
+
 // adopt counts the attempts in flight at the old versions when an order begins.
 func adopt(l *loop.Loop, service string, t *terms.Terms) {
 	l.Tally().Begin(service, t.Order(), t.Shift())
@@ -139,8 +155,8 @@
 	}
 	answered, bad := judge(l, attempt)
 	// An attempt that began under an earlier order says nothing about this one.
-	row := l.Splits().Ensure(attempt.Service())
-	answered = answered && !attempt.Uncounted() && row.Order() == attempt.VersionOrder()
+	row, ok := l.Splits().Find(attempt.Service())
+	answered = answered && !attempt.Uncounted() && ok && row.Order() == attempt.VersionOrder()
 	l.Tally().Ended(attempt.Service(), attempt.Route(), attempt.ToTarget(), answered, bad)
 	if !attempt.ToTarget() {
 		recordUsual(l, attempt, now)
