--- a/internal/direct/ctrl/ctrl.go
+++ b/internal/direct/ctrl/ctrl.go
@@ -15,6 +15,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/publsh"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/pull"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/push"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/rollo"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
@@ -23,6 +24,7 @@
 	return []lagoon.System[*state.State]{
 		ingest.System{},
 		push.System{},
+		rollo.System{},
 		beats.System{},
 		grant.System{},
 		pull.System{},
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -100,3 +100,21 @@
 
 // SetCostModelOff sets whether servers are chosen without the cost model.
 func (v *Node) SetCostModelOff(x bool) { v.costModelOff = x }
+
+// RegistryWriter returns what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) RegistryWriter() lagoon.RegistryWriter { return v.registryWriter }
+
+// SetRegistryWriter sets what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) SetRegistryWriter(x lagoon.RegistryWriter) { v.registryWriter = x }
+
+// ExposureShare returns the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) ExposureShare() float64 { return v.exposureShare }
+
+// SetExposureShare sets the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) SetExposureShare(x float64) { v.exposureShare = x }
+
+// RollbackTime returns after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) RollbackTime() time.Duration { return v.rollbackTime }
+
+// SetRollbackTime sets after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/permit"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
@@ -63,6 +64,10 @@
 	quotaBounds  lagoon.QuotaBounds // the bounds on the quotas of organisations; zero values mean the defaults
 	costModelOff bool               // whether servers are chosen without the cost model
 
+	registryWriter lagoon.RegistryWriter // what writes the states of roll-outs; nil if the deployment has none
+	exposureShare  float64               // the share of a service's requests that an unproven version may get; 0 means the default
+	rollbackTime   time.Duration         // after the 50th bad response of a version within which requests to it must end; 0 means the default
+
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
 	controlMailbox *mbox.Mailbox
@@ -71,6 +76,7 @@
 	running        atomic.Int64
 	requests       atomic.Int64
 	controlTick    atomic.Int64
+	tally          tally.Tally
 }
 
 // New returns a node whose dependencies are to be set before Serve is called. The
@@ -96,6 +102,9 @@
 	return permit.New(n.clock, &n.publishedView, &n.controlTick)
 }
 
+// Tally returns the responses by version in the open roll-outs.
+func (n *Node) Tally() *tally.Tally { return &n.tally }
+
 // Running returns the number of requests in progress.
 func (n *Node) Running() int64 { return n.running.Load() }
 
@@ -147,6 +156,14 @@
 	n.control.SetRegistryReachable(true)
 	n.control.SetQuotaBounds(n.quotaBounds)
 	n.control.SetDeliverGrant(n.trafficMailbox.TryPost)
+	if n.registryWriter != nil {
+		n.control.EnableRollouts()
+		n.control.SetRegistryWriter(n.registryWriter)
+		n.control.SetExposureShare(n.exposureShare)
+		n.control.SetRollbackTime(n.rollbackTime)
+		n.control.SetTally(&n.tally)
+		n.traffic.SetTally(&n.tally)
+	}
 	n.control.SetSystems(ctrl.Systems())
 	n.traffic.SetClock(n.clock)
 	n.traffic.SetPublishedView(&n.publishedView)
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -7,6 +7,7 @@
 import "time"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/fetch"
+import "github.com/lagoontrail/lagoon/internal/direct/tally"
 import "github.com/lagoontrail/lagoon/internal/direct/view"
 
 // Self returns this node.
@@ -276,3 +277,43 @@
 
 // SetQuotaBounds sets the bounds on the quotas of organisations.
 func (v *State) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
+
+// HeartbeatsDue returns whether heartbeats are to be sent in this tick, in addition to the regular ones.
+func (v *State) HeartbeatsDue() bool { return v.heartbeatsDue }
+
+// SetHeartbeatsDue sets whether heartbeats are to be sent in this tick, in addition to the regular ones.
+func (v *State) SetHeartbeatsDue(x bool) { v.heartbeatsDue = x }
+
+// ExposureShare returns the share of a service's requests that an unproven version may get.
+func (v *State) ExposureShare() float64 { return v.exposureShare }
+
+// SetExposureShare sets the share of a service's requests that an unproven version may get.
+func (v *State) SetExposureShare(x float64) { v.exposureShare = x }
+
+// RollbackTime returns after the 50th bad response of a version within which requests to it must end.
+func (v *State) RollbackTime() time.Duration { return v.rollbackTime }
+
+// SetRollbackTime sets after the 50th bad response of a version within which requests to it must end.
+func (v *State) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
+
+// RegistryWriter returns what writes the states of roll-outs; nil if the deployment has none.
+func (v *State) RegistryWriter() lagoon.RegistryWriter { return v.registryWriter }
+
+// SetRegistryWriter sets what writes the states of roll-outs; nil if the deployment has none.
+func (v *State) SetRegistryWriter(x lagoon.RegistryWriter) { v.registryWriter = x }
+
+// WriteRunner returns the function that runs writes; nil runs each on its own goroutine.
+func (v *State) WriteRunner() func(write func(ctx context.Context) error, done func(s *State, err error)) {
+	return v.writeRunner
+}
+
+// SetWriteRunner sets the function that runs writes; nil runs each on its own goroutine.
+func (v *State) SetWriteRunner(x func(write func(ctx context.Context) error, done func(s *State, err error))) {
+	v.writeRunner = x
+}
+
+// Tally returns the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *State) Tally() *tally.Tally { return v.tally }
+
+// SetTally sets the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *State) SetTally(x *tally.Tally) { v.tally = x }
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -23,9 +23,11 @@
 	"github.com/lagoontrail/lagoon/internal/direct/bucket"
 	"github.com/lagoontrail/lagoon/internal/direct/fetch"
 	"github.com/lagoontrail/lagoon/internal/direct/ledger"
+	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/roster"
 	"github.com/lagoontrail/lagoon/internal/direct/server"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
@@ -84,11 +86,18 @@
 	quotaGrants       []*lagoon.QuotaGrant                                                                    // the grants of quota tokens received in this tick
 	deliverGrant      func(m any) bool                                                                        // the function that passes a grant of quota tokens to this node's traffic; nil if nobody needs it
 	quotaBounds       lagoon.QuotaBounds                                                                      // the bounds on the quotas of organisations
+	heartbeatsDue     bool                                                                                    // whether heartbeats are to be sent in this tick, in addition to the regular ones
+	exposureShare     float64                                                                                 // the share of a service's requests that an unproven version may get
+	rollbackTime      time.Duration                                                                           // after the 50th bad response of a version within which requests to it must end
+	registryWriter    lagoon.RegistryWriter                                                                   // what writes the states of roll-outs; nil if the deployment has none
+	writeRunner       func(write func(ctx context.Context) error, done func(s *State, err error))             // the function that runs writes; nil runs each on its own goroutine
+	tally             *tally.Tally                                                                            // the responses by version in the open roll-outs; nil if the deployment has none
 
 	mailbox *mbox.Mailbox
 	servers rows.Table[server.Row]
 	peers   rows.Table[peers.Row]
 	topics  rows.Table[topics.Row]
+	orders  rows.Table[orders.Row]
 	roster  roster.Roster
 	ledger  ledger.Row
 	buckets rows.Table[bucket.Row]
@@ -134,6 +143,34 @@
 	}()
 }
 
+// EnableRollouts adds the topic of roll-outs, which other deployments do not call the registry
+// for.
+func (s *State) EnableRollouts() {
+	s.topics.Ensure(lagoon.TopicRollouts.String()).SetTopic(lagoon.TopicRollouts)
+}
+
+// Rollouts returns the topic of roll-outs, or false if the deployment has none.
+func (s *State) Rollouts() (*topics.Row, bool) {
+	return s.topics.Find(lagoon.TopicRollouts.String())
+}
+
+// Orders returns the table of orders to roll out versions.
+func (s *State) Orders() *rows.Table[orders.Row] { return &s.orders }
+
+// Write runs a write to the registry on another goroutine, and done in a later tick.
+func (s *State) Write(write func(ctx context.Context) error, done func(s *State, err error)) {
+	if s.writeRunner != nil {
+		s.writeRunner(write, done)
+		return
+	}
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		err := write(s.ctx)
+		_ = s.mailbox.Post(s.ctx, func(s *State) { done(s, err) }) // fails only after the control loop has stopped
+	}()
+}
+
 // Servers returns the table of announced servers.
 func (s *State) Servers() *rows.Table[server.Row] { return &s.servers }
 
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -32,6 +32,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
@@ -269,6 +270,7 @@
 	attempt.SetParallel(shard.Inflight() > 0)
 	estimate := c.Estimate()
 	costs.Sent(l, attemptID, attempt, shard, req, &estimate, c.Wait(), h, now)
+	versn.Started(l, attempt, &r, now)
 	shard.SetAttemptPending(false)
 	shard.SetState(shards.Running)
 	shard.SetNeedsToken(false)
--- a/internal/direct/tries/tries.go
+++ b/internal/direct/tries/tries.go
@@ -39,4 +39,8 @@
 	cost          lagoon.Cost          // the cost expected at its start
 	slowdown      float64              // the slowdown of the server expected at its start; 0 if the server does not report it
 	wait          time.Duration        // the time expected at its start until the server begins the work, and of the response on its way back
+	versionOrder  uint64               // the order of a roll-out that it is counted for; 0 for none
+	toTarget      bool                 // whether the server has the target version of that order
+	cold          bool                 // whether the server was cold at its start, for an attempt that is counted
+	uncounted     bool                 // whether its response is not counted, because it started before the order
 }
--- a/internal/direct/view/accessors_gen.go
+++ b/internal/direct/view/accessors_gen.go
@@ -5,6 +5,7 @@
 import "time"
 import "github.com/lagoontrail/lagoon"
 import "github.com/lagoontrail/lagoon/internal/direct/orgs"
+import "github.com/lagoontrail/lagoon/internal/direct/terms"
 
 // Self returns this node.
 func (v *View) Self() lagoon.Member { return v.self }
@@ -125,3 +126,9 @@
 
 // SetCatalogValidUntil sets when the catalog was last confirmed, and the time within which a change must be in force; 0 if a catalog of any age may be used.
 func (v *View) SetCatalogValidUntil(x time.Duration) { v.catalogValidUntil = x }
+
+// VersionTerms returns the terms of each service with an open roll-out.
+func (v *View) VersionTerms() map[string]*terms.Terms { return v.versionTerms }
+
+// SetVersionTerms sets the terms of each service with an open roll-out.
+func (v *View) SetVersionTerms(x map[string]*terms.Terms) { v.versionTerms = x }
