Let nodes judge alone when no decider is heard

Cause: when all hubs die while all attempts go to a version that has just turned bad, new hubs know only sums that hide it, and would grant it again. Change: a node whose lease ended without another grant tests its own responses and reports a rejection; a hub tests for 1.2 s before it decides, and the limit on the evidence of one look grows with the time that it covers.

--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -52,6 +52,10 @@
 // whole load shows it in two looks.
 const minShift = 1200 * time.Millisecond
 
+// minHubTime is the time for which a hub tests before it decides. Every node reports in it, also
+// that it judged alone, before the target is used again.
+const minHubTime = 1200 * time.Millisecond
+
 // fewOld is the number of responses of the old versions beyond which a target version without
 // any response is not reachable.
 const fewOld = 500
@@ -86,12 +90,20 @@
 func decide(s *state.State, row *orders.Row, now time.Duration) {
 	elapsed := now - row.DecidedAt()
 	row.SetDecidedAt(now)
+	judgeAlone(s, row, elapsed, now)
 	if !s.Hub() {
 		row.SetDeciding(false)
+		row.SetHubSince(0)
 		return
 	}
+	if row.HubSince() == 0 {
+		row.SetHubSince(now)
+	}
+	if now-row.HubSince() < minHubTime {
+		elapsed = max(elapsed, row.Age()) // the first report of a node has its counts since it learned of the order
+	}
 	observe(s, row, elapsed)
-	deciding := beats.IsFirstHub(s, now) && beats.HearsMost(s, now)
+	deciding := now-row.HubSince() >= minHubTime && beats.IsFirstHub(s, now) && beats.HearsMost(s, now)
 	if deciding && !row.Deciding() {
 		order := row.Order()
 		row.SetNextShare(row.Share()) // what an earlier decider granted is continued
@@ -109,6 +121,17 @@
 	tells.GrantSelf(s, row, now)
 }
 
+// judgeAlone rejects the target version on this node's own responses once its lease has expired
+// without another grant. The next decider, which may know only the sums, learns of it.
+func judgeAlone(s *state.State, row *orders.Row, elapsed, now time.Duration) {
+	order := row.Order()
+	counts := s.Tally().Read(order.Service(), row.OpenedRevision())
+	row.ObserveOwn(counts.Routes(), elapsed)
+	if !row.Rejected() && row.Share() > 0 && now >= row.TargetUntil() && row.Own().Rejected() {
+		reject(s, row, "no decider was heard, and on this node "+row.Own().Evidence())
+	}
+}
+
 // observe gives the reported responses to the test.
 func observe(s *state.State, row *orders.Row, elapsed time.Duration) {
 	if row.Test() == nil {
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -102,6 +102,24 @@
 // SetSent sets the reports that a grant may still answer.
 func (v *Row) SetSent(x []Sent) { v.sent = x }
 
+// Own returns the test of the target version on this node's own responses.
+func (v *Row) Own() *verdict.Test { return v.own }
+
+// SetOwn sets the test of the target version on this node's own responses.
+func (v *Row) SetOwn(x *verdict.Test) { v.own = x }
+
+// OwnCounts returns the responses that it has seen.
+func (v *Row) OwnCounts() []lagoon.RolloutCounts { return v.ownCounts }
+
+// SetOwnCounts sets the responses that it has seen.
+func (v *Row) SetOwnCounts(x []lagoon.RolloutCounts) { v.ownCounts = x }
+
+// HubSince returns since when this node has tested the target version as a hub; 0 if it does not.
+func (v *Row) HubSince() time.Duration { return v.hubSince }
+
+// SetHubSince sets since when this node has tested the target version as a hub; 0 if it does not.
+func (v *Row) SetHubSince(x time.Duration) { v.hubSince = x }
+
 // Reports returns at a hub, the last report of each node.
 func (v *Row) Reports() map[string]*Report { return v.reports }
 
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -43,6 +43,10 @@
 	badLimit    uint64        // the number of bad responses at which the node stops using the target; 0 for no limit
 	sent        []Sent        // the reports that a grant may still answer
 
+	own       *verdict.Test          // the test of the target version on this node's own responses
+	ownCounts []lagoon.RolloutCounts // the responses that it has seen
+	hubSince  time.Duration          // since when this node has tested the target version as a hub; 0 if it does not
+
 	reports      map[string]*Report               // at a hub, the last report of each node
 	pending      map[string]*lagoon.RolloutCounts // at a hub, the responses by route that the test has not seen yet
 	test         *verdict.Test                    // at a hub, the test of the target version
@@ -93,6 +97,18 @@
 	r.age = max(r.age, report.Age())
 }
 
+// ObserveOwn gives this node's own responses to its own test.
+func (r *Row) ObserveOwn(counts []lagoon.RolloutCounts, elapsed time.Duration) {
+	if r.own == nil {
+		r.own = &verdict.Test{}
+	}
+	for _, c := range counts {
+		p := previousCounts(r.ownCounts, c)
+		r.own.Observe(c.Route(), elapsed, c.Old()-p.Old(), c.OldBad()-p.OldBad(), c.Target()-p.Target(), c.TargetBad()-p.TargetBad())
+	}
+	r.ownCounts = counts
+}
+
 // previousCounts returns the earlier counts of the same route and run, or the zero value.
 func previousCounts(earlier []lagoon.RolloutCounts, counts lagoon.RolloutCounts) lagoon.RolloutCounts {
 	for _, c := range earlier {
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -20,8 +20,9 @@
 
 // Parameters of the test. TestErrorRates measures what they lead to.
 const (
-	threshold     = 10.0             // log-likelihood ratio at which the target is rejected
-	maxStep       = 5.5              // the most that one observation adds, so that one pause of a server rejects nothing
+	threshold     = 10.0 // log-likelihood ratio at which the target is rejected
+	maxStep       = 5.5  // the most that the responses of stepTime add, so that one pause of a server rejects nothing
+	stepTime      = 500 * time.Millisecond
 	doubtShare    = 1.0 / 3          // of the threshold, above which the target is in doubt
 	worseFactor   = 3.0              // the share of bad responses that is tested for, relative to that of the old versions
 	minBadShare   = 0.05             // the least share of bad responses that is tested for
@@ -76,7 +77,7 @@
 	}
 	good := float64(target) - float64(targetBad)
 	ratio := float64(targetBad)*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
-	r.sum = max(0, r.sum+min(ratio/r.inflation(float64(target)), maxStep))
+	r.sum = max(0, r.sum+min(ratio/r.inflation(float64(target)), maxStep*max(1, float64(elapsed)/float64(stepTime))))
 }
 
 // addVariance adds an observation of the old versions to the estimate of the correlation. Bad
