--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -1,6 +1,7 @@
 package trfc_test
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
@@ -50,6 +51,7 @@
 	started  time.Duration
 	elapsed  time.Duration
 	response lagoon.Response
+	ended    func() // called after the response; nil for nothing
 }
 
 // server is a modeled server with slots and a queue.
@@ -76,11 +78,13 @@
 	otherServer  string          // the ID of the server that responds in its place; empty for none
 	failRate     float64         // the share of requests that it runs and answers with a failure
 	reply        any             // what it responds with; nil for a reply without a stamp
+	reportsSpeed bool            // whether its reports of load have a speed
 }
 
 type job struct {
 	sim      *sim // the node that sent it
 	attempt  lagoon.RowID
+	work     time.Duration // the mean time of its request; 0 for that of the server
 	server   *server // nil until the request has reached it
 	started  time.Duration
 	canceled bool
@@ -248,6 +252,9 @@
 			q.elapsed = s.now - q.started
 			delete(s.pending, reply)
 			s.completed = append(s.completed, q)
+			if q.ended != nil {
+				s.schedule(0, q.ended)
+			}
 		default:
 		}
 	}
@@ -306,6 +313,7 @@
 	replica := a.Replica()
 	srv := s.servers[replica.ID()]
 	j := &job{sim: s, attempt: id, started: s.now}
+	j.work, _ = a.Payload().(time.Duration)
 	const networkDelay = time.Millisecond
 	s.schedule(networkDelay, func() {
 		if !srv.unreachable {
@@ -341,7 +349,7 @@
 func (s *sim) execute(srv *server, j *job) {
 	srv.busySlots++
 	srv.runs++
-	duration := time.Duration(float64(srv.meanTime) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
+	duration := time.Duration(float64(cmp.Or(j.work, srv.meanTime)) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
 	if srv.pausePeriod > 0 {
 		if elapsed := (s.now + srv.pausePhase) % srv.pausePeriod; elapsed < srv.pauseLength {
 			duration += srv.pauseLength - elapsed
@@ -382,6 +390,9 @@
 		v.SetRunning(j.server.busySlots)
 		v.SetQueued(len(j.server.queue))
 		v.SetSlots(j.server.replica.Slots())
+		if j.server.reportsSpeed {
+			v.SetSlowdown(j.server.slowdown)
+		}
 		v.SetLeaving(j.server.leaving)
 		v.SetPause(max(j.server.closedUntil-s.now, 0))
 		v.SetLeavingServer(j.server.otherServer)
