Shed requests under overload by organisation and rank

With more load than the servers can do, gathered requests took slots and failed, as each lacked some shards. Policy shed.Policy (lagoon.AdmissionPolicy) limits the work that a pool of services gets once all servers of too many services have been late for 0.4 s, by feedback of the waits that servers report. trfc/report records the reports, trfc/shed decides between admit and sched. The limit is divided among organisations by max-min fairness (pkg/fair), within one its most urgent ranks come first; each rank keeps a tenth. Nearly complete gathered requests are sent first, pending requests that are too late are dropped, and callers that came back sooner than told get neither retry budget nor precedence. Only requests of organisations and routes whose servers report a speed are concerned; [admission] enabled = false turns it off.

TestHotShardsServeNoLess compares with no policy.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -616,6 +616,102 @@
 // SetJitter sets a fresh random number, 0 to 1.
 func (v *ReplicaView) SetJitter(x float64) { v.jitter = x }
 
+// Rank returns the rank of the request; 0 is the highest.
+func (v AdmissionView) Rank() int { return v.rank }
+
+// SetRank sets the rank of the request; 0 is the highest.
+func (v *AdmissionView) SetRank(x int) { v.rank = x }
+
+// Returning returns whether its caller was refused and came back sooner than told.
+func (v AdmissionView) Returning() bool { return v.returning }
+
+// SetReturning sets whether its caller was refused and came back sooner than told.
+func (v *AdmissionView) SetReturning(x bool) { v.returning = x }
+
+// Demand returns the work that the organisation asks for by requests like this one.
+func (v AdmissionView) Demand() float64 { return v.demand }
+
+// SetDemand sets the work that the organisation asks for by requests like this one.
+func (v *AdmissionView) SetDemand(x float64) { v.demand = x }
+
+// FairShare returns the part of that work that finds room.
+func (v AdmissionView) FairShare() float64 { return v.fairShare }
+
+// SetFairShare sets the part of that work that finds room.
+func (v *AdmissionView) SetFairShare(x float64) { v.fairShare = x }
+
+// RankFloor returns the share of the requests of this rank that are admitted in any case, 0 to 1.
+func (v AdmissionView) RankFloor() float64 { return v.rankFloor }
+
+// SetRankFloor sets the share of the requests of this rank that are admitted in any case, 0 to 1.
+func (v *AdmissionView) SetRankFloor(x float64) { v.rankFloor = x }
+
+// Excess returns the ratio of the work that all ask for to the work that is admitted.
+func (v AdmissionView) Excess() float64 { return v.excess }
+
+// SetExcess sets the ratio of the work that all ask for to the work that is admitted.
+func (v *AdmissionView) SetExcess(x float64) { v.excess = x }
+
+// ExpectedTime returns when enough servers are expected to have responded, from now; 0 if it is unknown.
+func (v AdmissionView) ExpectedTime() time.Duration { return v.expectedTime }
+
+// SetExpectedTime sets when enough servers are expected to have responded, from now; 0 if it is unknown.
+func (v *AdmissionView) SetExpectedTime(x time.Duration) { v.expectedTime = x }
+
+// TimeLeft returns the time left until the deadline.
+func (v AdmissionView) TimeLeft() time.Duration { return v.timeLeft }
+
+// SetTimeLeft sets the time left until the deadline.
+func (v *AdmissionView) SetTimeLeft(x time.Duration) { v.timeLeft = x }
+
+// Jitter returns a fresh random number, 0 to 1, for the decision.
+func (v AdmissionView) Jitter() float64 { return v.jitter }
+
+// SetJitter sets a fresh random number, 0 to 1, for the decision.
+func (v *AdmissionView) SetJitter(x float64) { v.jitter = x }
+
+// Spread returns a fresh random number, 0 to 1, for the delay.
+func (v AdmissionView) Spread() float64 { return v.spread }
+
+// SetSpread sets a fresh random number, 0 to 1, for the delay.
+func (v *AdmissionView) SetSpread(x float64) { v.spread = x }
+
+// Limit returns the work that may be admitted now; infinite without a limit.
+func (v CapacityView) Limit() float64 { return v.limit }
+
+// SetLimit sets the work that may be admitted now; infinite without a limit.
+func (v *CapacityView) SetLimit(x float64) { v.limit = x }
+
+// Offered returns the work that callers ask for.
+func (v CapacityView) Offered() float64 { return v.offered }
+
+// SetOffered sets the work that callers ask for.
+func (v *CapacityView) SetOffered(x float64) { v.offered = x }
+
+// Served returns the work that the servers completed recently for this node.
+func (v CapacityView) Served() float64 { return v.served }
+
+// SetServed sets the work that the servers completed recently for this node.
+func (v *CapacityView) SetServed(x float64) { v.served = x }
+
+// LateFor returns for how long too many services of a route have been late; 0 if they are not.
+func (v CapacityView) LateFor() time.Duration { return v.lateFor }
+
+// SetLateFor sets for how long too many services of a route have been late; 0 if they are not.
+func (v *CapacityView) SetLateFor(x time.Duration) { v.lateFor = x }
+
+// Pressure returns the wait at the services, relative to the wait that their routes allow.
+func (v CapacityView) Pressure() float64 { return v.pressure }
+
+// SetPressure sets the wait at the services, relative to the wait that their routes allow.
+func (v *CapacityView) SetPressure(x float64) { v.pressure = x }
+
+// Interval returns the time since the last decision.
+func (v CapacityView) Interval() time.Duration { return v.interval }
+
+// SetInterval sets the time since the last decision.
+func (v *CapacityView) SetInterval(x time.Duration) { v.interval = x }
+
 // Server returns the server name.
 func (v ServerStatus) Server() string { return v.server }
 
--- a/direct.go
+++ b/direct.go
@@ -164,3 +164,29 @@
 	remaining       float64 // the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late
 	jitter          float64 // a fresh random number, 0 to 1; json:"noise"
 }
+
+// AdmissionView is the input of an AdmissionPolicy: a request, the share of the organisation
+// that sent it, and the load of the services that it needs. Work is in seconds per second.
+type AdmissionView struct {
+	rank         int           // the rank of the request; 0 is the highest
+	returning    bool          // whether its caller was refused and came back sooner than told
+	demand       float64       // the work that the organisation asks for by requests like this one
+	fairShare    float64       // the part of that work that finds room
+	rankFloor    float64       // the share of the requests of this rank that are admitted in any case, 0 to 1
+	excess       float64       // the ratio of the work that all ask for to the work that is admitted
+	expectedTime time.Duration // when enough servers are expected to have responded, from now; 0 if it is unknown
+	timeLeft     time.Duration // the time left until the deadline
+	jitter       float64       // a fresh random number, 0 to 1, for the decision
+	spread       float64       // a fresh random number, 0 to 1, for the delay
+}
+
+// CapacityView is the input of an AdmissionPolicy on the load of services that share requests.
+// Work is in seconds per second.
+type CapacityView struct {
+	limit    float64       // the work that may be admitted now; infinite without a limit
+	offered  float64       // the work that callers ask for
+	served   float64       // the work that the servers completed recently for this node
+	lateFor  time.Duration // for how long too many services of a route have been late; 0 if they are not
+	pressure float64       // the wait at the services, relative to the wait that their routes allow
+	interval time.Duration // the time since the last decision
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -180,3 +180,12 @@
 	// typical response time.
 	Delay(v ReplicaView) float64
 }
+
+// AdmissionPolicy decides under overload which requests are admitted.
+type AdmissionPolicy interface {
+	// Admit reports whether a request is admitted, and otherwise how long its caller should
+	// wait.
+	Admit(v AdmissionView) (ok bool, retryAfter time.Duration)
+	// Limit returns the work to admit, in seconds per second; infinite for no limit.
+	Limit(v CapacityView) float64
+}
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -147,3 +147,9 @@
 
 // SetRequestByChan sets the requests by response channel.
 func (v *Loop) SetRequestByChan(x map[chan<- lagoon.Response]lagoon.RowID) { v.requestByChan = x }
+
+// AdmissionPolicy returns the policy that decides on admission under overload; nil admits all requests.
+func (v *Loop) AdmissionPolicy() lagoon.AdmissionPolicy { return v.admissionPolicy }
+
+// SetAdmissionPolicy sets the policy that decides on admission under overload; nil admits all requests.
+func (v *Loop) SetAdmissionPolicy(x lagoon.AdmissionPolicy) { v.admissionPolicy = x }
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -23,8 +23,11 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/demand"
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
+	"github.com/lagoontrail/lagoon/internal/direct/levels"
+	"github.com/lagoontrail/lagoon/internal/direct/loads"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
@@ -69,6 +72,8 @@
 	queue         []lagoon.RowID                          // the shards with a pending attempt
 	requestByChan map[chan<- lagoon.Response]lagoon.RowID // the requests by response channel
 
+	admissionPolicy lagoon.AdmissionPolicy // the policy that decides on admission under overload; nil admits all requests
+
 	mailbox    *mbox.Mailbox
 	requests   rows.Table[reqs.Row]
 	shards     rows.Table[shards.Row]
@@ -83,6 +88,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
+	loads      rows.Table[loads.Row]
+	demand     rows.Table[demand.Row]
+	levels     rows.Table[levels.Row]
 }
 
 // attemptDone is the message that an attempt has ended.
@@ -139,6 +147,15 @@
 // Budgets returns the table of retry budgets.
 func (l *Loop) Budgets() *rows.Table[tokens.Row] { return &l.budgets }
 
+// Loads returns the table of the loads that servers reported.
+func (l *Loop) Loads() *rows.Table[loads.Row] { return &l.loads }
+
+// Demand returns the table of what the requests of each route ask of the servers.
+func (l *Loop) Demand() *rows.Table[demand.Row] { return &l.demand }
+
+// Levels returns the table of how much work is admitted to each pool of services.
+func (l *Loop) Levels() *rows.Table[levels.Row] { return &l.levels }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -82,3 +82,9 @@
 
 // SetExtraWindow sets the length of the window that ExtraSlack applies to.
 func (v *Node) SetExtraWindow(x time.Duration) { v.extraWindow = x }
+
+// AdmitAll returns whether admission control under overload is off.
+func (v *Node) AdmitAll() bool { return v.admitAll }
+
+// SetAdmitAll sets whether admission control under overload is off.
+func (v *Node) SetAdmitAll(x bool) { v.admitAll = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
 	"github.com/lagoontrail/lagoon/pkg/score"
+	"github.com/lagoontrail/lagoon/pkg/shed"
 )
 
 // Sizes of mailboxes, in messages. Traffic handles up to a few thousand messages
@@ -58,6 +59,7 @@
 	extraRatio   float64          // the retries and hedges that all nodes together may send to a service, as a share of its requests
 	extraSlack   float64          // the retries and hedges that all nodes together may send to a service in a window, beyond that share
 	extraWindow  time.Duration    // the length of the window that ExtraSlack applies to
+	admitAll     bool             // whether admission control under overload is off
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -149,6 +151,9 @@
 	n.traffic.SetPartialPolicy(cutoff.Policy{})
 	n.traffic.SetReplicaPolicy(score.Policy{})
 	n.traffic.SetRetryPolicy(retry.Policy{})
+	if !n.admitAll {
+		n.traffic.SetAdmissionPolicy(shed.Policy{})
+	}
 	n.traffic.SetExtraRatio(n.extraRatio)
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
--- a/internal/direct/reqs/accessors_gen.go
+++ b/internal/direct/reqs/accessors_gen.go
@@ -101,3 +101,15 @@
 
 // SetRank sets the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest.
 func (v *Row) SetRank(x int) { v.rank = x }
+
+// Governed returns whether an admission policy decided on it.
+func (v *Row) Governed() bool { return v.governed }
+
+// SetGoverned sets whether an admission policy decided on it.
+func (v *Row) SetGoverned(x bool) { v.governed = x }
+
+// Returning returns whether its caller was refused and came back sooner than told.
+func (v *Row) Returning() bool { return v.returning }
+
+// SetReturning sets whether its caller was refused and came back sooner than told.
+func (v *Row) SetReturning(x bool) { v.returning = x }
--- a/internal/direct/reqs/reqs.go
+++ b/internal/direct/reqs/reqs.go
@@ -35,4 +35,6 @@
 	trace         []byte                 // the attempts so far, for the journal
 	organisation  string                 // the organisation of the caller; empty if the catalog declares none or the route is public
 	rank          int                    // the rank under overload: the organisation's priority if it has one, else the route's; 0 is the highest
+	governed      bool                   // whether an admission policy decided on it
+	returning     bool                   // whether its caller was refused and came back sooner than told
 }
--- a/internal/direct/trfc/admit/admit.go
+++ b/internal/direct/trfc/admit/admit.go
@@ -233,6 +233,17 @@
 	}
 }
 
+// WithdrawBudget takes back what an admitted request added to the retry budgets, as it is
+// refused before anything of it is sent.
+func WithdrawBudget(l *loop.Loop, req *reqs.Row) {
+	for _, id := range req.Shards() {
+		if shard, ok := l.Shards().Resolve(id); ok {
+			b := l.Budgets().Ensure(shard.Service())
+			b.TokensRef().DepositUpTo(-1, 100*l.ExtraRatio()*budgetShare, b.Burst())
+		}
+	}
+}
+
 func refuse(l *loop.Loop, id lagoon.RowID, req *reqs.Row, retryAfter time.Duration, reason string) {
 	var r lagoon.Response
 	r.SetOutcome(lagoon.RequestRefused)
--- a/internal/direct/trfc/load_test.go
+++ b/internal/direct/trfc/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,11 +14,13 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 )
 
-// The times of a replay: the pattern of load is in force from loadStart to loadEnd.
+// The times of a replay: the pattern of load is in force from loadStart to loadEnd, and the
+// nodes have had time to notice it at settled.
 const (
+	settled   = 3500 * time.Millisecond
 	loadStart = 2 * time.Second
-	loadEnd   = 5 * time.Second
-	loadStop  = 6 * time.Second
+	loadEnd   = 6 * time.Second
+	loadStop  = 7 * time.Second
 )
 
 // usualShares are the organisations' shares of the usual load.
@@ -47,6 +50,7 @@
 	factor     func(kind, organisation int) float64 // of the usual load, from loadStart to loadEnd
 	impatient  func(kind, organisation int) bool    // whether refused callers return after returnWait, whatever they were told
 	returnWait time.Duration
+	anonymous  bool // whether the catalog declares no organisations
 	calls      []*call
 }
 
@@ -56,6 +60,7 @@
 	started, ended     time.Duration
 	outcome            lagoon.RequestOutcome
 	requests           int
+	shed               int // the requests that admission control refused
 }
 
 // newLoadTest returns a replay on eight nodes and 12 shards with two servers each, which report
@@ -184,6 +189,9 @@
 	timeout := c.started + x.routes[c.kind].Timeout() - x.now
 	q.ended = func() {
 		c.outcome, c.ended = q.response.Outcome(), x.now
+		if strings.HasPrefix(q.response.Reason(), "no room") || strings.HasPrefix(q.response.Reason(), "cannot finish") {
+			c.shed++
+		}
 		wait := max(q.response.RetryAfter(), 10*time.Millisecond)
 		if x.impatient(c.kind, c.organisation) {
 			wait = x.returnWait
@@ -195,7 +203,10 @@
 	s.pending[responses] = q
 	var a lagoon.Request
 	a.SetID(q.id)
-	a.SetHost(fmt.Sprint("desk", "org", c.organisation))
+	a.SetHost("desk")
+	if !x.anonymous {
+		a.SetHost(fmt.Sprint("desk", "org", c.organisation))
+	}
 	a.SetPath("/" + kindNames[c.kind] + "/")
 	a.SetTimeout(timeout)
 	a.SetPayload(kindWork[c.kind])
@@ -265,30 +276,35 @@
 func (x *loadTest) log(t testing.TB, pattern string) {
 	t.Helper()
 	t.Logf("%s: %s; worst second %.3f", pattern, x.count(func(*call) bool { return true }), x.worstSecond())
+	t.Logf("  settled   %s", x.count(isSettled))
 	for kind, name := range kindNames {
-		t.Logf("  %-9s %s", name, x.count(func(c *call) bool { return c.kind == kind }))
+		t.Logf("  %-9s %s; settled %s", name, x.count(func(c *call) bool { return c.kind == kind }), x.count(func(c *call) bool { return c.kind == kind && isSettled(c) }))
 	}
 	for organisation := range usualShares {
-		t.Logf("  org%d      %s", organisation, x.count(func(c *call) bool { return c.organisation == organisation }))
+		t.Logf("  org%d      %s; settled %s", organisation, x.count(func(c *call) bool { return c.organisation == organisation }), x.count(func(c *call) bool { return c.organisation == organisation && isSettled(c) }))
 	}
 }
 
+func isSettled(c *call) bool { return c.started >= settled }
+
 // loadPatterns are the patterns of load of docs/design/demand.md, section 3.
 var loadPatterns = []struct {
-	name  string
-	apply func(x *loadTest)
+	name      string
+	maxFailed float64 // of the settled calls
+	minUsual  float64 // the least share served of the settled calls of organisations that send as usual
+	apply     func(x *loadTest)
 }{
-	{"calm", func(*loadTest) {}},
-	{"one organisation x 8", func(x *loadTest) {
+	{"calm", 0.01, 0.98, func(*loadTest) {}},
+	{"one organisation x 8", 0.05, 0.9, func(x *loadTest) {
 		x.factor = func(_, organisation int) float64 { return []float64{8, 1, 1, 1, 1, 1, 1, 1, 1, 1}[organisation] }
 	}},
-	{"three organisations x 8", func(x *loadTest) {
+	{"three organisations x 8", 0.05, 0.8, func(x *loadTest) {
 		x.factor = func(_, organisation int) float64 { return []float64{8, 1, 1, 1, 8, 1, 1, 8, 1, 1}[organisation] }
 	}},
-	{"least urgent kind x 8", func(x *loadTest) {
+	{"least urgent kind x 8", 0.05, 0.3, func(x *loadTest) {
 		x.factor = func(kind, _ int) float64 { return [kinds]float64{1, 1, 8}[kind] }
 	}},
-	{"retry storm", func(x *loadTest) {
+	{"retry storm", 0.05, 0.95, func(x *loadTest) {
 		setRefusals := func(rate float64) {
 			for _, srv := range x.servers {
 				srv.refusalRate = rate
@@ -301,7 +317,7 @@
 		})
 		x.schedule(loadStart+600*time.Millisecond, func() { setRefusals(0) })
 	}},
-	{"half of the servers slow", func(x *loadTest) {
+	{"half of the servers slow", 0.25, 0.65, func(x *loadTest) {
 		setSlowdown := func(slowdown float64) {
 			for id, srv := range x.servers {
 				if id[len(id)-1] == 'b' {
@@ -314,8 +330,10 @@
 	}},
 }
 
-// Guards against requests that are lost without a decision: each call ends, under each pattern
-// of load.
+// Guards against overload that leaves requests without a decision, that makes gathered requests
+// take slots and then fail, and in which organisations that send more than usual cost the others
+// their responses. Without admission control 0.43 to 0.70 of the settled calls fail where all
+// kinds have too little room, and nearly all gathered ones beside a burst of plain ones.
 func TestLoadPatterns(t *testing.T) {
 	for _, p := range loadPatterns {
 		t.Run(p.name, func(t *testing.T) {
@@ -329,6 +347,15 @@
 					t.Fatalf("call of %s: got no end, want one before its deadline", kindNames[c.kind])
 				}
 			}
+			all := x.count(isSettled)
+			if got := float64(all.failed) / float64(all.total); got > p.maxFailed {
+				t.Errorf("failed: got %.3f of the settled calls, want at most %.3f", got, p.maxFailed)
+			}
+			usual := x.count(func(c *call) bool { return isSettled(c) && x.factor(gatherKind, c.organisation) == 1 })
+			t.Logf("  usual     %s", usual)
+			if got := usual.served(); got < p.minUsual {
+				t.Errorf("organisations that send as usual: got %.3f of the settled calls served, want at least %.3f", got, p.minUsual)
+			}
 		})
 	}
 }
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -11,7 +11,8 @@
 // shard whose best server is too busy to respond in time is dropped if the response
 // may be partial, since a request sent there would only delay the requests queued
 // behind it. Requests that can still meet their objective go first, then those of
-// routes with a higher priority, then the oldest.
+// routes with a higher priority, then the oldest. Among requests on which an admission policy
+// decided, nearly complete ones come before the oldest.
 package sched
 
 import (
@@ -40,6 +41,10 @@
 // dropped although they would have been in time.
 const latenessFactor = 1.2
 
+// nearlyComplete is the share of the shards of a gathered request above which its last ones come
+// before the first ones of others: most of its work would be lost without them.
+const nearlyComplete = 0.5
+
 // recheckInterval is the time until pending attempts are considered again when
 // no other event causes a tick.
 const recheckInterval = 5 * time.Millisecond
@@ -167,7 +172,25 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(reqA.Rank(), reqB.Rank()), cmp.Compare(shardA.QueuedAt(), shardB.QueuedAt()))
+	return cmp.Or(cmp.Compare(reqA.Rank(), reqB.Rank()), compareGoverned(reqA, reqB), cmp.Compare(shardA.QueuedAt(), shardB.QueuedAt()))
+}
+
+// compareGoverned orders the requests on which an admission policy decided: the last missing
+// shards of nearly complete ones first, and requests whose callers came back sooner than told
+// last. Other requests are equal.
+func compareGoverned(a, b *reqs.Row) int { return cmp.Compare(turn(a), turn(b)) }
+
+// turn returns the place of a request in that order.
+func turn(req *reqs.Row) int {
+	switch {
+	case !req.Governed():
+		return 1
+	case req.Returning():
+		return 2
+	case len(req.Shards()) > 1 && float64(req.CoveredShards()) >= nearlyComplete*float64(len(req.Shards())):
+		return 0
+	}
+	return 1
 }
 
 // missesObjective reports whether an attempt that starts now is likely to miss the
@@ -177,7 +200,7 @@
 }
 
 func (s *System) schedule(l *loop.Loop, id lagoon.RowID, shard *shards.Row, req *reqs.Row, now time.Duration) {
-	if len(shard.Attempts()) > 0 && !timely.Enough(l, req, now) {
+	if (len(shard.Attempts()) > 0 || (req.Governed() && now > shard.QueuedAt())) && !timely.Enough(l, req, now) {
 		dropAttempt(l, shard, req, "too little time is left for a response")
 		return
 	}
@@ -190,6 +213,8 @@
 	switch {
 	case c.Found() && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
+	case c.Found() && shard.NeedsToken() && req.Returning():
+		dropAttempt(l, shard, req, "its caller came back sooner than told, which leaves it no retry budget")
 	case c.Found() && takeToken(l, shard):
 		start(l, id, shard, req, replica, now)
 	case c.Found() && now-req.CallerStart() >= req.Route().Objective() && sufficientWithout(shard, req):
--- /dev/null
+++ b/internal/direct/trfc/shed_test.go
@@ -0,0 +1,103 @@
+package trfc_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/shed"
+)
+
+// shedRequests returns the number of requests that admission control refused.
+func (x *loadTest) shedRequests() (n int) {
+	for _, c := range x.calls {
+		n += c.shed
+	}
+	return n
+}
+
+// Guards against admission control that refuses requests which would have been served: at the
+// usual load, ordinary faults are left to the choice of servers, to retries and to hedges.
+func TestOrdinaryFaultsShedNothing(t *testing.T) {
+	for _, f := range []struct {
+		name  string
+		apply func(x *loadTest)
+	}{
+		{"calm", func(*loadTest) {}},
+		{"one server slow", func(x *loadTest) { x.servers["shard-3a"].slowdown = 8 }},
+		{"one server pauses for long", func(x *loadTest) { x.servers["shard-3a"].pauseLength = time.Second }},
+		{"one server crashed", func(x *loadTest) { x.servers["shard-3a"].unreachable = true }},
+		{"responses lost", func(x *loadTest) {
+			for _, srv := range x.servers {
+				srv.lossRate = 0.02
+			}
+		}},
+		{"one server refuses", func(x *loadTest) { x.servers["shard-3a"].refusalRate = 0.6 }},
+	} {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				x := newLoadTest(t, seed+10)
+				x.schedule(loadStart, func() { f.apply(x) })
+				x.run()
+				n := x.count(func(*call) bool { return true })
+				t.Logf("seed %d: %s", seed+10, n)
+				if got := x.shedRequests(); got != 0 {
+					t.Errorf("seed %d: requests refused by admission control: got %d, want none", seed+10, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against admission control that serves fewer callers than none would: two shards have
+// one server left, which can do five sixths of their work, and a response may lack one shard.
+func TestHotShardsServeNoLess(t *testing.T) {
+	replay := func(seed uint64, policy lagoon.AdmissionPolicy) counts {
+		x := newLoadTest(t, seed)
+		for _, s := range x.nodes {
+			s.loop.SetAdmissionPolicy(policy)
+		}
+		x.schedule(loadStart, func() { x.servers["shard-3a"].unreachable, x.servers["shard-7b"].unreachable = true, true })
+		x.run()
+		return x.count(isSettled)
+	}
+	for seed := range uint64(3) {
+		with, without := replay(seed+10, shed.Policy{}), replay(seed+10, nil)
+		t.Logf("seed %d: with %s; without %s", seed+10, with, without)
+		if got, want := with.served(), without.served()-0.02; got < want {
+			t.Errorf("seed %d: served: got %.3f, want at least %.3f", seed+10, got, want)
+		}
+	}
+}
+
+// Guards against a change for deployments without organisations whose servers report no speed:
+// under overload they decide exactly as without an admission policy.
+func TestOtherDeploymentsAreUnchanged(t *testing.T) {
+	replay := func(policy bool) *loadTest {
+		x := newLoadTest(t, 1)
+		x.anonymous = true
+		for _, srv := range x.servers {
+			srv.reportsSpeed = false
+		}
+		for _, s := range x.nodes {
+			s.loop.SetAdmissionPolicy(nil)
+			if policy {
+				s.loop.SetAdmissionPolicy(shed.Policy{})
+			}
+		}
+		x.factor = func(kind, _ int) float64 { return [kinds]float64{1, 2, 1}[kind] }
+		x.run()
+		return x
+	}
+	with, without := replay(true), replay(false)
+	if got, want := len(with.calls), len(without.calls); got != want {
+		t.Fatalf("calls: got %d, want %d", got, want)
+	}
+	for i, c := range with.calls {
+		if *c != *without.calls[i] {
+			t.Fatalf("call %d: got %+v with a policy, want %+v as without", i, *c, *without.calls[i])
+		}
+	}
+	t.Logf("%d calls: %s", len(with.calls), with.count(func(*call) bool { return true }))
+}
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -20,6 +20,7 @@
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
 	"github.com/lagoontrail/lagoon/pkg/score"
+	"github.com/lagoontrail/lagoon/pkg/shed"
 )
 
 // sim runs a load against the traffic systems of one node and modeled servers, in
@@ -85,7 +86,7 @@
 	sim      *sim // the node that sent it
 	attempt  lagoon.RowID
 	work     time.Duration // the mean time of its request; 0 for that of the server
-	server   *server // nil until the request has reached it
+	server   *server       // nil until the request has reached it
 	started  time.Duration
 	canceled bool
 	done     bool
@@ -137,6 +138,7 @@
 	l.SetPartialPolicy(cutoff.Policy{})
 	l.SetReplicaPolicy(score.Policy{})
 	l.SetRetryPolicy(retry.Policy{})
+	l.SetAdmissionPolicy(shed.Policy{})
 	l.SetExtraRatio(0.2)
 	l.SetExtraSlack(100)
 	l.SetExtraWindow(10 * time.Second)
--- a/internal/direct/trfc/trfc.go
+++ b/internal/direct/trfc/trfc.go
@@ -15,8 +15,10 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/reply"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/report"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/result"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/sched"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/shed"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/stops"
 )
 
@@ -25,8 +27,10 @@
 	return []lagoon.System[*loop.Loop]{
 		leave.System{},
 		pause.System{},
+		report.System{},
 		result.System{},
 		admit.System{},
+		&shed.System{},
 		stops.System{},
 		hedge.System{},
 		&sched.System{},
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -340,6 +340,82 @@
 	return v
 }
 
+// admissionViewForm is the wire form of lagoon.AdmissionView.
+type admissionViewForm struct {
+	Rank         int           `cbor:"1,keyasint,omitempty" json:"rank,omitempty"`
+	Returning    bool          `cbor:"2,keyasint,omitempty" json:"returning,omitempty"`
+	Demand       float64       `cbor:"3,keyasint,omitempty" json:"demand,omitempty"`
+	FairShare    float64       `cbor:"4,keyasint,omitempty" json:"fair_share,omitempty"`
+	RankFloor    float64       `cbor:"5,keyasint,omitempty" json:"rank_floor,omitempty"`
+	Excess       float64       `cbor:"6,keyasint,omitempty" json:"excess,omitempty"`
+	ExpectedTime time.Duration `cbor:"7,keyasint,omitempty" json:"expected_time,omitempty"`
+	TimeLeft     time.Duration `cbor:"8,keyasint,omitempty" json:"time_left,omitempty"`
+	Jitter       float64       `cbor:"9,keyasint,omitempty" json:"jitter,omitempty"`
+	Spread       float64       `cbor:"10,keyasint,omitempty" json:"spread,omitempty"`
+}
+
+func toAdmissionView(v lagoon.AdmissionView) admissionViewForm {
+	return admissionViewForm{
+		Rank:         v.Rank(),
+		Returning:    v.Returning(),
+		Demand:       v.Demand(),
+		FairShare:    v.FairShare(),
+		RankFloor:    v.RankFloor(),
+		Excess:       v.Excess(),
+		ExpectedTime: v.ExpectedTime(),
+		TimeLeft:     v.TimeLeft(),
+		Jitter:       v.Jitter(),
+		Spread:       v.Spread(),
+	}
+}
+
+func fromAdmissionView(m admissionViewForm) lagoon.AdmissionView {
+	var v lagoon.AdmissionView
+	v.SetRank(m.Rank)
+	v.SetReturning(m.Returning)
+	v.SetDemand(m.Demand)
+	v.SetFairShare(m.FairShare)
+	v.SetRankFloor(m.RankFloor)
+	v.SetExcess(m.Excess)
+	v.SetExpectedTime(m.ExpectedTime)
+	v.SetTimeLeft(m.TimeLeft)
+	v.SetJitter(m.Jitter)
+	v.SetSpread(m.Spread)
+	return v
+}
+
+// capacityViewForm is the wire form of lagoon.CapacityView.
+type capacityViewForm struct {
+	Limit    float64       `cbor:"1,keyasint,omitempty" json:"limit,omitempty"`
+	Offered  float64       `cbor:"2,keyasint,omitempty" json:"offered,omitempty"`
+	Served   float64       `cbor:"3,keyasint,omitempty" json:"served,omitempty"`
+	LateFor  time.Duration `cbor:"4,keyasint,omitempty" json:"late_for,omitempty"`
+	Pressure float64       `cbor:"5,keyasint,omitempty" json:"pressure,omitempty"`
+	Interval time.Duration `cbor:"6,keyasint,omitempty" json:"interval,omitempty"`
+}
+
+func toCapacityView(v lagoon.CapacityView) capacityViewForm {
+	return capacityViewForm{
+		Limit:    v.Limit(),
+		Offered:  v.Offered(),
+		Served:   v.Served(),
+		LateFor:  v.LateFor(),
+		Pressure: v.Pressure(),
+		Interval: v.Interval(),
+	}
+}
+
+func fromCapacityView(m capacityViewForm) lagoon.CapacityView {
+	var v lagoon.CapacityView
+	v.SetLimit(m.Limit)
+	v.SetOffered(m.Offered)
+	v.SetServed(m.Served)
+	v.SetLateFor(m.LateFor)
+	v.SetPressure(m.Pressure)
+	v.SetInterval(m.Interval)
+	return v
+}
+
 // serverStatusForm is the wire form of lagoon.ServerStatus.
 type serverStatusForm struct {
 	Server           string            `cbor:"1,keyasint,omitempty" json:"server,omitempty"`
