Keep a rank's tenth without costing organisations that send as usual

The tenth that each rank keeps was added to what its organisations got anyway, so that more than the limit was admitted and the level of all fell. It now counts only while the rank gets less, and an organisation is not held back below twice its share, as its demand at one node varies. The level is found from the last one in few passes over one slice, and the replays no longer depend on the order of a map.

Adds the design note, the operators' page, tests of the order in sched and of late pending requests.

--- a/internal/direct/levels/levels.go
+++ b/internal/direct/levels/levels.go
@@ -37,9 +37,10 @@
 	shares   fair.Shares
 	told     [fair.Ranks]time.Duration
 	toldAt   [fair.Ranks]time.Duration
+	admitted [fair.Ranks]float64
 }
 
-// AveragingTime is the time constant of the moving average of the completed work.
+// AveragingTime is the time constant of the moving averages of admitted and completed work.
 const AveragingTime = 500 * time.Millisecond
 
 // toldWindow is the time for which a Retry-After counts.
@@ -67,7 +68,11 @@
 // Decay lets the averages decay until now.
 func (r *Row) Decay(now, interval time.Duration) {
 	r.decayedAt = now
-	r.served *= math.Exp(-float64(interval) / float64(AveragingTime))
+	kept := math.Exp(-float64(interval) / float64(AveragingTime))
+	r.served *= kept
+	for i := range r.admitted {
+		r.admitted[i] *= kept
+	}
 	r.shares.Decay(now)
 }
 
@@ -83,12 +88,21 @@
 	return r.level
 }
 
+// CountAdmitted counts work that was admitted in a rank.
+func (r *Row) CountAdmitted(rank int, work time.Duration) {
+	r.admitted[min(max(rank, 0), fair.Ranks-1)] += float64(work) / float64(AveragingTime)
+}
+
 // FloorOf returns the share of the requests of a rank that are admitted even if their
-// organisations have used up their shares: the rank keeps minRankShare of the admitted work.
+// organisations have used up their shares: the rank keeps minRankShare of the admitted work. It
+// is 0 while the rank gets that much.
 func (r *Row) FloorOf(rank int) float64 {
 	if r.limit == 0 {
 		return 1
 	}
+	if r.admitted[min(max(rank, 0), fair.Ranks-1)] >= minRankShare*r.limit {
+		return 0
+	}
 	return min(1, minRankShare*r.limit/max(r.shares.RankTotal(rank), minDemand))
 }
 
--- a/internal/direct/trfc/shed/shed.go
+++ b/internal/direct/trfc/shed/shed.go
@@ -91,6 +91,7 @@
 	view := requestView(l, level, route, req, now)
 	admitted, retryAfter := l.AdmissionPolicy().Admit(view)
 	if admitted {
+		level.CountAdmitted(req.Rank(), work)
 		return
 	}
 	level.SetTold(req.Rank(), retryAfter, now)
--- a/internal/direct/trfc/shed_test.go
+++ b/internal/direct/trfc/shed_test.go
@@ -1,10 +1,13 @@
 package trfc_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/loop"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc"
 	"github.com/lagoontrail/lagoon/pkg/shed"
 )
 
@@ -101,3 +104,91 @@
 	}
 	t.Logf("%d calls: %s", len(with.calls), with.count(func(*call) bool { return true }))
 }
+
+// limitConns lets each node have one attempt in flight at each server.
+func (s *sim) limitConns() {
+	v := *s.publishedView.Load()
+	pools := map[string]lagoon.Pool{}
+	for name := range v.Pools() {
+		var p lagoon.Pool
+		p.SetMaxConns(1)
+		pools[name] = p
+	}
+	v.SetPools(pools)
+	s.publishedView.Store(&v)
+}
+
+// Guards against a new request that takes the slot which a nearly complete one still needs, so
+// that the work already done for that one is lost.
+func TestNearlyCompleteRequestComesFirst(t *testing.T) {
+	for _, governed := range []bool{false, true} {
+		m := newManualSim(t, gatherRoute([]string{"shard-0", "shard-1"}), 2)
+		delete(m.servers, "shard-1b")
+		delete(m.servers, "shard-1c")
+		m.publish(gatherRoute([]string{"shard-0", "shard-1"}))
+		m.limitConns()
+		if governed {
+			m.loop.SetSystems(slices.Insert(trfc.Systems(), 1, lagoon.System[*loop.Loop](organise{})))
+		}
+		m.submit()
+		m.end(attemptEnd{1, lagoon.StatusOK}) // the first request still has the only server of shard-1
+		older, newer := m.submit(), m.submit()
+		m.end(attemptEnd{4, lagoon.StatusOK}) // the first shard of the newer one
+		m.end(attemptEnd{2, lagoon.StatusOK})
+		if len(m.attempts) != 5 {
+			t.Fatalf("attempts: got %d, want 5", len(m.attempts))
+		}
+		want := older.id
+		if governed {
+			want = newer.id
+		}
+		if got := m.attempts[4].ID(); got != want {
+			t.Errorf("governed %t: got the slot for %s, want it for %s", governed, got, want)
+		}
+	}
+}
+
+// organise gives all requests an organisation.
+type organise struct{}
+
+// Name returns the system's name.
+func (organise) Name() string { return "organise" }
+
+// Run sets the organisations of the requests that arrived.
+func (organise) Run(l *loop.Loop, _ time.Duration) {
+	for _, id := range l.Arrived() {
+		if req, ok := l.Requests().Resolve(id); ok {
+			req.SetOrganisation("org")
+		}
+	}
+}
+
+// Guards against a request that waits for a slot until its deadline although no response can
+// come in time any more: it is refused as soon as that is so, so that its caller can go
+// elsewhere.
+func TestPendingRequestThatIsTooLateIsRefusedAtOnce(t *testing.T) {
+	for _, governed := range []bool{false, true} {
+		s := newSim(t, 1)
+		s.addShards(1, 200*time.Millisecond)
+		delete(s.servers, "shard-0b")
+		delete(s.servers, "shard-0c")
+		s.publish(singleRoute(false))
+		if governed {
+			s.loop.SetSystems(slices.Insert(trfc.Systems(), 1, lagoon.System[*loop.Loop](organise{})))
+		}
+		s.runLoad(10, 5*time.Second)
+		s.limitConns()
+		s.servers["shard-0a"].silent = true
+		const timeout = time.Second
+		s.submitWithTimeout(timeout)
+		q := s.submitWithTimeout(timeout)
+		s.runUntil(s.now + 2*timeout)
+		if got, want := q.response.Outcome(), lagoon.RequestRefused; got != want {
+			t.Errorf("governed %t: got %s, want %s", governed, got, want)
+		}
+		early := q.elapsed < timeout-100*time.Millisecond
+		if early != governed {
+			t.Errorf("governed %t: refused after %s of %s", governed, q.elapsed, timeout)
+		}
+	}
+}
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -248,6 +249,7 @@
 
 func (s *sim) tick(items ...any) {
 	s.loop.Tick(items)
+	var ended []*request
 	for reply, q := range s.pending {
 		select {
 		case q.response = <-reply:
@@ -255,11 +257,15 @@
 			delete(s.pending, reply)
 			s.completed = append(s.completed, q)
 			if q.ended != nil {
-				s.schedule(0, q.ended)
+				ended = append(ended, q)
 			}
 		default:
 		}
 	}
+	slices.SortFunc(ended, func(a, b *request) int { return cmp.Compare(a.id, b.id) }) // the order of a map is random
+	for _, q := range ended {
+		s.schedule(0, q.ended)
+	}
 }
 
 // runUntil runs the simulation up to a time.
--- a/pkg/fair/fair.go
+++ b/pkg/fair/fair.go
@@ -21,12 +21,14 @@
 )
 
 const (
-	averagingTime = time.Second     // of demands; several requests of an ordinary user, and the time in which a burst must be noticed
-	retention     = 5 * time.Second // after the last request of a user
-	maxUsers      = 16384           // more than the organisations of the largest deployment; further ones share a row
-	sweepSize     = 64              // users looked at by one Decay; at ten a second, 10,000 users take 16 s
-	levelPasses   = 16              // over the users; the level of skewed demands is exact after four to six
-	maxScale      = 1e9             // of stored demands, which keeps them far from the limits of a float64
+	averagingTime  = time.Second     // of demands; several requests of an ordinary user, and the time in which a burst must be noticed
+	retention      = 5 * time.Second // after the last request of a user
+	maxUsers       = 16384           // more than the organisations of the largest deployment; further ones share a row
+	sweepSize      = 64              // users looked at by one Decay; at ten a second, 10,000 users take 16 s
+	levelPasses    = 16              // over the users; the level of skewed demands is exact after four to six
+	levelPrecision = 0.001           // the change of the level at which it is found
+	firstPrecision = 0.1             // the same for the first step from the last level, whose error is of second order
+	maxScale       = 1e9             // of stored demands, which keeps them far from the limits of a float64
 )
 
 // Ranks is the number of ranks that are told apart; less urgent ones count as the last.
@@ -40,6 +42,8 @@
 type Shares struct {
 	index     map[string]int
 	users     []user
+	sums      []float64 // the demand of each user, apart so that a pass over all of them is short
+	level     float64   // the last level, from which the next one is found in few passes; 0 for none
 	decayedAt time.Duration
 	scale     float64 // of the stored demands: it grows instead of each of them decaying
 	total     float64
@@ -60,9 +64,11 @@
 		s.index, s.scale, s.decayedAt = map[string]int{}, 1, now
 	}
 	rate := float64(work) / float64(averagingTime) * s.scale
-	u := s.ensure(key)
+	i := s.ensure(key)
+	u := &s.users[i]
 	u.lastAt = now
 	s.total += rate
+	s.sums[i] += rate
 	s.ranks[clamp(rank)] += rate
 	if returning {
 		u.returning += rate
@@ -71,7 +77,7 @@
 	u.first[clamp(rank)] += rate
 }
 
-func (s *Shares) ensure(key string) *user {
+func (s *Shares) ensure(key string) int {
 	i, ok := s.index[key]
 	if !ok && len(s.users) >= maxUsers {
 		key = otherUsers
@@ -81,8 +87,9 @@
 		i = len(s.users)
 		s.index[key] = i
 		s.users = append(s.users, user{key: key})
+		s.sums = append(s.sums, 0)
 	}
-	return &s.users[i]
+	return i
 }
 
 // Decay lets the demands decay until now, and removes some of the users that asked for nothing
@@ -118,7 +125,8 @@
 			u.first[rank] /= s.scale
 		}
 		u.returning /= s.scale
-		s.total += u.demand()
+		s.sums[i] = u.demand()
+		s.total += s.sums[i]
 	}
 	for rank := range s.ranks {
 		s.ranks[rank] /= s.scale
@@ -137,14 +145,17 @@
 // remove removes a user. The last one moves into its place.
 func (s *Shares) remove(i int) {
 	last := len(s.users) - 1
-	s.total = max(0, s.total-s.users[i].demand())
+	s.total = max(0, s.total-s.sums[i])
+	for rank, d := range s.users[i].first {
+		s.ranks[rank] = max(0, s.ranks[rank]-d)
+	}
 	delete(s.index, s.users[i].key)
 	if i != last {
-		s.users[i] = s.users[last]
+		s.users[i], s.sums[i] = s.users[last], s.sums[last]
 		s.index[s.users[i].key] = i
 	}
 	s.users[last] = user{}
-	s.users = s.users[:last]
+	s.users, s.sums = s.users[:last], s.sums[:last]
 }
 
 // Len returns the number of users.
@@ -199,27 +210,34 @@
 // infinite if the capacity is enough for all.
 func (s *Shares) Level(capacity float64) float64 {
 	if s.Total() <= capacity {
+		s.level = 0
 		return math.Inf(1)
 	}
+	// The sum of what users get is a concave function of the level, so that each step of Newton's
+	// method ends at or below the solution, and all but the first rise.
 	capacity *= s.scale
-	level := capacity / float64(len(s.users))
-	for range levelPasses {
+	level := s.level * s.scale
+	for pass := range levelPasses {
 		below, above := 0.0, 0
-		for i := range s.users {
-			if d := s.users[i].demand(); d <= level {
+		for _, d := range s.sums {
+			if d <= level {
 				below += d
 			} else {
 				above++
 			}
 		}
 		if above == 0 {
-			break
+			level = 0 // no user is limited by it; start again
+			continue
 		}
-		higher := (capacity - below) / float64(above)
-		if higher <= level {
+		next := max(capacity-below, 0) / float64(above)
+		change := math.Abs(next - level)
+		done := change <= levelPrecision*level || (pass == 0 && change <= firstPrecision*level)
+		level = next
+		if done {
 			break
 		}
-		level = higher
 	}
-	return level / s.scale
+	s.level = level / s.scale
+	return s.level
 }
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -31,8 +31,8 @@
 )
 
 // tolerance is the ratio of demand to share below which nothing is refused: the demand of an
-// organisation that sends a few requests a second to a node varies by a third.
-const tolerance = 1.5
+// organisation that sends a few requests a second to a node varies by a third, and the limit by as much.
+const tolerance = 2
 
 // Retry-After of refused requests.
 const (
