Limit sooner when half of the services are late

The first second of a burst was lost, as lateness had to last for 0.4 s. Half of the services of a route late for 0.15 s is evidence as well, which no fault of single servers gives, and the limit may rise twice as fast.

--- a/internal/direct/trfc/shed/assess.go
+++ b/internal/direct/trfc/shed/assess.go
@@ -17,6 +17,13 @@
 // than a pause of a server together with the age of its reports.
 const confirmTime = 400 * time.Millisecond
 
+// A route is late sooner, after widespreadTime, if the share widespread of its services is: no
+// fault of single servers does that.
+const (
+	widespread     = 0.5
+	widespreadTime = 150 * time.Millisecond
+)
+
 // lateShare is the part of the objective above which an expected response time is late.
 const lateShare = 1.0
 
@@ -30,7 +37,7 @@
 	services := len(r.Shards())
 	spare := services - int(math.Ceil(r.MinCoverage()*float64(services))) // the services that a response may lack
 	times := make([]time.Duration, 0, max(services, len(r.Targets())))
-	late, wait := 0, time.Duration(0)
+	late, soon, wait := 0, 0, time.Duration(0)
 	if n := max(services, len(r.Targets())); len(row.LateSince()) != n {
 		row.SetLateSince(make([]time.Duration, n))
 	}
@@ -46,6 +53,9 @@
 			*since = now
 		case now-*since >= confirmTime:
 			late++
+			soon++
+		case now-*since >= widespreadTime:
+			soon++
 		}
 	}
 	for _, service := range r.Shards() {
@@ -63,7 +73,7 @@
 		}
 		return
 	}
-	row.SetLate(late > spare)
+	row.SetLate(late > spare || (soon > spare && float64(soon) >= widespread*float64(services)))
 	slices.Sort(times)
 	row.SetExpectedTime(times[len(times)-1-min(spare, len(times)-1)])
 }
--- a/pkg/shed/shed.go
+++ b/pkg/shed/shed.go
@@ -23,7 +23,7 @@
 const (
 	startShare     = 0.9  // of the completed work, the first limit: the queues have to shrink
 	gain           = 1.5  // the change of the limit in a second, for each unit of pressure off its target of 1
-	maxRise        = 0.5  // the most pressure below the target that counts
+	maxRise        = 1.0  // the most pressure below the target that counts
 	maxFall        = 1.0  // the most pressure above the target that counts
 	minServedShare = 0.7  // of the completed work, below which the limit does not fall
 	releaseFactor  = 1.3  // a limit above this multiple of the offered work ends
