--- a/interfaces.go
+++ b/interfaces.go
@@ -200,3 +200,12 @@
 	// it until then, and complete is false.
 	Observe(key CostKey, work time.Duration, complete bool, now time.Duration)
 }
+
+// AdmissionPolicy decides under overload which requests are admitted.
+type AdmissionPolicy interface {
+	// Admit reports whether a request is admitted, and otherwise how long its caller should
+	// wait.
+	Admit(v AdmissionView) (ok bool, retryAfter time.Duration)
+	// Limit returns the work to admit, in seconds per second; infinite for no limit.
+	Limit(v CapacityView) float64
+}
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -23,9 +23,12 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/demand"
 	"github.com/lagoontrail/lagoon/internal/direct/flows"
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
+	"github.com/lagoontrail/lagoon/internal/direct/levels"
+	"github.com/lagoontrail/lagoon/internal/direct/loads"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
@@ -84,6 +87,8 @@
 	queue         []lagoon.RowID                          // the shards with a pending attempt
 	requestByChan map[chan<- lagoon.Response]lagoon.RowID // the requests by response channel
 
+	admissionPolicy lagoon.AdmissionPolicy // the policy that decides on admission under overload; nil admits all requests
+
 	mailbox    *mbox.Mailbox
 	requests   rows.Table[reqs.Row]
 	shards     rows.Table[shards.Row]
@@ -103,6 +108,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
+	loads      rows.Table[loads.Row]
+	demand     rows.Table[demand.Row]
+	levels     rows.Table[levels.Row]
 }
 
 // attemptDone is the message that an attempt has ended.
@@ -175,6 +183,15 @@
 // Usual returns the table of the old versions' response times.
 func (l *Loop) Usual() *rows.Table[usual.Row] { return &l.usual }
 
+// Loads returns the table of the loads that servers reported.
+func (l *Loop) Loads() *rows.Table[loads.Row] { return &l.loads }
+
+// Demand returns the table of what the requests of each route ask of the servers.
+func (l *Loop) Demand() *rows.Table[demand.Row] { return &l.demand }
+
+// Levels returns the table of how much work is admitted to each pool of services.
+func (l *Loop) Levels() *rows.Table[levels.Row] { return &l.levels }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -118,3 +118,9 @@
 
 // SetRollbackTime sets after the 50th bad response of a version within which requests to it must end; 0 means the default.
 func (v *Node) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
+
+// AdmitAll returns whether admission control under overload is off.
+func (v *Node) AdmitAll() bool { return v.admitAll }
+
+// SetAdmitAll sets whether admission control under overload is off.
+func (v *Node) SetAdmitAll(x bool) { v.admitAll = x }
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
 	"github.com/lagoontrail/lagoon/pkg/score"
+	"github.com/lagoontrail/lagoon/pkg/shed"
 )
 
 // Sizes of mailboxes, in messages. Traffic handles up to a few thousand messages
@@ -67,6 +68,7 @@
 	registryWriter lagoon.RegistryWriter // what writes the states of roll-outs; nil if the deployment has none
 	exposureShare  float64               // the share of a service's requests that an unproven version may get; 0 means the default
 	rollbackTime   time.Duration         // after the 50th bad response of a version within which requests to it must end; 0 means the default
+	admitAll       bool                  // whether admission control under overload is off
 
 	publishedView  atomic.Pointer[view.View]
 	control        *state.State
@@ -177,6 +179,9 @@
 	if !n.costModelOff {
 		n.traffic.SetCostModel(cost.New())
 	}
+	if !n.admitAll {
+		n.traffic.SetAdmissionPolicy(shed.Policy{})
+	}
 	n.traffic.SetExtraRatio(n.extraRatio)
 	n.traffic.SetExtraSlack(n.extraSlack)
 	n.traffic.SetExtraWindow(n.extraWindow)
--- a/internal/direct/reqs/accessors_gen.go
+++ b/internal/direct/reqs/accessors_gen.go
@@ -125,3 +125,15 @@
 
 // SetReached sets whether an attempt may have reached a server.
 func (v *Row) SetReached(x bool) { v.reached = x }
+
+// Governed returns whether an admission policy decided on it.
+func (v *Row) Governed() bool { return v.governed }
+
+// SetGoverned sets whether an admission policy decided on it.
+func (v *Row) SetGoverned(x bool) { v.governed = x }
+
+// Returning returns whether its caller was refused and came back sooner than told.
+func (v *Row) Returning() bool { return v.returning }
+
+// SetReturning sets whether its caller was refused and came back sooner than told.
+func (v *Row) SetReturning(x bool) { v.returning = x }
--- a/internal/direct/reqs/reqs.go
+++ b/internal/direct/reqs/reqs.go
@@ -39,4 +39,6 @@
 	tokenSince    time.Duration          // when it first needed a quota token, and was counted as demand of its organisation; 0 before
 	sentAt        time.Duration          // when the first attempt was started; 0 before
 	reached       bool                   // whether an attempt may have reached a server
+	governed      bool                   // whether an admission policy decided on it
+	returning     bool                   // whether its caller was refused and came back sooner than told
 }
--- a/internal/direct/trfc/server_test.go
+++ b/internal/direct/trfc/server_test.go
@@ -1,6 +1,7 @@
 package trfc_test
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -35,6 +36,7 @@
 	reply        any             // what it responds with; nil for a reply without a stamp
 	pace         *pace           // how its speed changes; nil for none
 	jobs         []*job          // what was sent to it and has not ended, if it has a pace
+	reportsSpeed bool            // whether its reports of load have a speed
 }
 
 type job struct {
@@ -44,7 +46,7 @@
 	started  time.Duration
 	arrives  time.Duration // when the request reaches the server
 	ends     time.Duration // when the server will have run it; 0 before it has started
-	work     time.Duration // how long it takes at the usual speed, for a server with a pace
+	work     time.Duration // how long it takes at the usual speed, for a server with a pace; the mean time of its request for any other, or 0 for that of the server
 	canceled bool
 	done     bool
 }
@@ -55,6 +57,7 @@
 	replica := a.Replica()
 	srv := s.servers[replica.ID()]
 	j := &job{sim: s, attempt: id, started: s.now}
+	j.work, _ = a.Payload().(time.Duration)
 	if srv.pace != nil {
 		srv = s.place(j, srv, a)
 	}
@@ -93,7 +96,7 @@
 func (s *sim) execute(srv *server, j *job) {
 	srv.busySlots++
 	srv.runs++
-	duration := time.Duration(float64(srv.meanTime) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
+	duration := time.Duration(float64(cmp.Or(j.work, srv.meanTime)) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
 	if srv.pace != nil {
 		j.ends = srv.pace.end(s.now, j.work)
 		duration = j.ends - s.now
@@ -134,6 +137,9 @@
 		v.SetRunning(j.server.busySlots)
 		v.SetQueued(len(j.server.queue))
 		v.SetSlots(j.server.replica.Slots())
+		if j.server.reportsSpeed {
+			v.SetSlowdown(j.server.slowdown)
+		}
 		v.SetLeaving(j.server.leaving)
 		v.SetPause(max(j.server.closedUntil-s.now, 0))
 		v.SetLeavingServer(j.server.otherServer)
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/lagoontrail/lagoon/pkg/hedge"
 	"github.com/lagoontrail/lagoon/pkg/retry"
 	"github.com/lagoontrail/lagoon/pkg/score"
+	"github.com/lagoontrail/lagoon/pkg/shed"
 )
 
 // sim runs a load against the traffic systems of one node and modeled servers, in
@@ -54,6 +56,7 @@
 	started  time.Duration
 	elapsed  time.Duration
 	response lagoon.Response
+	ended    func() // called after the response; nil for nothing
 }
 
 type event struct {
@@ -102,6 +105,7 @@
 	l.SetPartialPolicy(cutoff.Policy{})
 	l.SetReplicaPolicy(score.Policy{})
 	l.SetRetryPolicy(retry.Policy{})
+	l.SetAdmissionPolicy(shed.Policy{})
 	l.SetExtraRatio(0.2)
 	l.SetExtraSlack(100)
 	l.SetExtraWindow(10 * time.Second)
@@ -222,15 +226,23 @@
 
 func (s *sim) tick(items ...any) {
 	s.loop.Tick(items)
+	var ended []*request
 	for reply, q := range s.pending {
 		select {
 		case q.response = <-reply:
 			q.elapsed = s.now - q.started
 			delete(s.pending, reply)
 			s.completed = append(s.completed, q)
+			if q.ended != nil {
+				ended = append(ended, q)
+			}
 		default:
 		}
 	}
+	slices.SortFunc(ended, func(a, b *request) int { return cmp.Compare(a.id, b.id) }) // the order of a map is random
+	for _, q := range ended {
+		s.schedule(0, q.ended)
+	}
 }
 
 // runUntil runs the simulation up to a time.
--- a/internal/direct/trfc/trfc.go
+++ b/internal/direct/trfc/trfc.go
@@ -16,8 +16,10 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/reply"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/report"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/result"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/sched"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/shed"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/stops"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 )
@@ -28,8 +30,10 @@
 		leave.System{},
 		pause.System{},
 		versn.System{},
+		report.System{},
 		result.System{},
 		admit.System{},
+		&shed.System{},
 		quota.System{},
 		stops.System{},
 		hedge.System{},
