--- a/internal/direct/ctrl/grant/ledger.go
+++ b/internal/direct/ctrl/grant/ledger.go
@@ -32,7 +32,6 @@
 
 // Times of weights.
 const (
-	pauseLimit  = time.Second            // between two ticks, after which this node has paused and others may have granted in its place
 	minWeighing = 5 * time.Millisecond   // between two computations of the weight, which go over all nodes
 	trimStep    = 0.02                   // the relative fall of the weight at which all buckets are limited anew
 	weighTime   = state.TickInterval - 1 // between two computations if nothing has happened
@@ -69,12 +68,8 @@
 // advance advances the clock of the buckets by the weight, and updates the weight.
 func advance(s *state.State, now time.Duration) {
 	l := s.Ledger()
-	switch elapsed := now - l.ClockAt(); {
-	case l.ClockAt() == 0:
-	case elapsed >= pauseLimit:
-		reset(s)
-	default:
-		l.SetClock(l.Clock() + l.Weight()*elapsed.Seconds())
+	if l.ClockAt() > 0 {
+		l.SetClock(l.Clock() + l.Weight()*(now-l.ClockAt()).Seconds())
 	}
 	l.SetClockAt(now)
 	if age := now - l.WeighedAt(); age < minWeighing || (age < weighTime && !l.WeightDue()) {
--- a/internal/direct/trfc/admit/admit.go
+++ b/internal/direct/trfc/admit/admit.go
@@ -115,7 +115,8 @@
 		finish(l, id, req, lagoon.RequestNoRoute, "no route is declared for the host and path")
 		return
 	}
-	if !identify(l, id, req, route, now) {
+	organisation, ok := identify(l, id, req, route, now)
+	if !ok {
 		return
 	}
 	catalog := view.Catalog()
@@ -124,7 +125,7 @@
 		finish(l, id, req, lagoon.RequestTooLarge, fmt.Sprintf("the body has %d bytes, %d are allowed", request.BodySize(), maxBytes))
 		return
 	}
-	if !quota.Take(l, id, req, view.OrganisationNamed(req.Organisation()), now) {
+	if !quota.Take(l, id, req, organisation, now) {
 		return
 	}
 	req.SetRoute(route)
--- a/internal/direct/trfc/admit/identify.go
+++ b/internal/direct/trfc/admit/identify.go
@@ -12,13 +12,13 @@
 	"github.com/lagoontrail/lagoon/internal/timers"
 )
 
-// identify sets the organisation and the rank of a request, and reports whether the request
-// may be admitted. Otherwise the request has been refused, or waits for a newer catalog.
-func identify(l *loop.Loop, id lagoon.RowID, req *reqs.Row, route *lagoon.Route, now time.Duration) bool {
+// identify sets the organisation and the rank of a request. It returns the organisation, nil if
+// the request needs none, and whether the request may be admitted. Otherwise the request has been refused, or waits for a newer catalog.
+func identify(l *loop.Loop, id lagoon.RowID, req *reqs.Row, route *lagoon.Route, now time.Duration) (*lagoon.Organisation, bool) {
 	v, request := req.View(), req.Request()
 	req.SetRank(route.Priority())
 	if !v.Identified() || route.Public() {
-		return true
+		return nil, true
 	}
 	if reason := unusable(l, v, now); reason != "" {
 		if now-req.ArrivedAt() < maxSyncWait {
@@ -26,27 +26,27 @@
 		} else {
 			refuse(l, id, req, retryAfterStart, "keys cannot be checked: "+reason)
 		}
-		return false
+		return nil, false
 	}
 	organisation := v.FindOrganisation(request.Key())
 	switch {
 	case organisation != nil:
 	case !v.RegistryReachable() || v.CatalogOutdated():
 		refuse(l, id, req, retryAfterNoServer, "no organisation holds the key, and newer declarations may exist that are not known yet")
-		return false
+		return nil, false
 	case request.Key() == "":
 		finish(l, id, req, lagoon.RequestUnauthorized, "the request does not have exactly one key")
-		return false
+		return nil, false
 	default:
 		catalog := v.Catalog()
 		finish(l, id, req, lagoon.RequestUnauthorized, fmt.Sprintf("unknown key: no organisation of version %d holds it", catalog.Version()))
-		return false
+		return nil, false
 	}
 	req.SetOrganisation(organisation.Name())
 	if organisation.HasPriority() {
 		req.SetRank(organisation.Priority())
 	}
-	return true
+	return organisation, true
 }
 
 // unusable returns why a view must not be used to accept keys, or an empty string. A key may
--- a/internal/direct/trfc/quota/quota.go
+++ b/internal/direct/trfc/quota/quota.go
@@ -103,6 +103,7 @@
 		}
 		return
 	}
+	evict(l, now)
 	m := &lagoon.QuotaRequest{}
 	self := l.View().Self()
 	m.SetFrom(self.Name())
--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -50,8 +50,8 @@
 	return row
 }
 
-// evict removes idle rows, a few for each row that is added, so that their number stays in
-// proportion to the organisations in use.
+// evict removes some of the idle rows. It is called for each row that is added and for each
+// message, so that the number of rows stays in proportion to the organisations in use.
 func evict(l *loop.Loop, now time.Duration) {
 	const scanned = 4
 	for range min(scanned, l.Usage().Len()) {
