--- a/internal/direct/ctrl/grant/weight.go
+++ b/internal/direct/ctrl/grant/weight.go
@@ -134,15 +134,17 @@
 	}
 }
 
+// smooth returns a share that follows its target slowly.
+func smooth(old, target float64) float64 {
+	if old == 0 {
+		return target
+	}
+	return old + shareWeight*(target-old)
+}
+
 // assign updates the shares that this hub assigns to the nodes that it hears.
 func assign(s *state.State, shareOfTraffic, largest float64, now time.Duration) {
 	l := s.Ledger()
-	smooth := func(old, target float64) float64 {
-		if old == 0 {
-			return target
-		}
-		return old + shareWeight*(target-old)
-	}
 	l.SetShare(smooth(l.Share(), shareOfTraffic*traffic(s.Self(), s.RequestRate(), largest)))
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
@@ -159,7 +161,7 @@
 }
 
 // receiveShares adopts the share that this node's granter assigned to it, or any hub if it has
-// none.
+// none. Hubs of the earlier release assign none, but say how much traffic there is.
 func receiveShares(s *state.State) {
 	l := s.Ledger()
 	for _, m := range s.Heartbeats() {
@@ -168,5 +170,8 @@
 		if m.Hub() && m.AssignedShare() > 0 && !s.Hub() && accepted {
 			l.SetShare(min(m.AssignedShare(), 1))
 		}
+		if m.Hub() && m.Granter() == "" && !s.Hub() && l.Granter() == s.Self().Name() && m.TotalRequestRate() > 0 && s.RequestRate() > 0 {
+			l.SetShare(smooth(l.Share(), min(s.RequestRate()/m.TotalRequestRate(), 1)))
+		}
 	}
 }
--- a/internal/direct/ctrl/quota_grant_test.go
+++ b/internal/direct/ctrl/quota_grant_test.go
@@ -154,3 +154,47 @@
 		checkGranted(t, "after a third of the nodes was cut off", answer, 1, 440)
 	}
 }
+
+// TestHubsOfEarlierReleaseAreNotAsked guards against nodes that refuse all organisations while both
+// hubs run the earlier release, which knows no quotas: each node then uses its share.
+func TestHubsOfEarlierReleaseAreNotAsked(t *testing.T) {
+	f := newQuotaFleet(t, 100, 500)
+	for _, n := range f.nodes {
+		n.control.SetRequestCount(&n.requestCount)
+	}
+	asked := 0
+	f.garble = func(m lagoon.Message) lagoon.Message {
+		switch m := m.(type) {
+		case *lagoon.QuotaRequest, *lagoon.QuotaGrant:
+			asked++
+			return nil
+		case *lagoon.Heartbeat:
+			if m.Hub() {
+				old := *m
+				old.SetGranter("")
+				old.SetAssignedShare(0)
+				old.SetTrafficShare(0)
+				return &old
+			}
+		}
+		return m
+	}
+	for range 500 {
+		for _, n := range f.nodes {
+			n.requestCount.Add(2)
+		}
+		f.run(tickStep)
+	}
+	checked := 0
+	for _, n := range f.nodes {
+		if l := n.control.Ledger(); !n.control.Hub() {
+			checked++
+			if l.Granter() != n.self.Name() || l.Weight() < 0.07 || l.Weight() > 0.1 {
+				t.Errorf("%s: got granter %q with weight %.3f, want itself with one of 12 parts", n.self.Name(), l.Granter(), l.Weight())
+			}
+		}
+	}
+	if asked > 0 || checked == 0 {
+		t.Errorf("got %d quota messages and %d nodes that are no hubs, want none and some", asked, checked)
+	}
+}
--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -78,8 +78,8 @@
 	var r lagoon.Response
 	r.SetOutcome(lagoon.RequestOverQuota)
 	r.SetRetryAfter(wait)
-	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, %.1f requests per second here",
-		organisation.RatePerSecond(), organisation.Burst(), (now - req.TokenSince()).Round(time.Millisecond), demand(row, now)))
+	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, more are expected in %s, %.1f requests per second here",
+		organisation.RatePerSecond(), organisation.Burst(), (now - req.TokenSince()).Round(time.Millisecond), max(row.RetryAt()-now, 0).Round(time.Millisecond), demand(row, now)))
 	req.SetResponse(r)
 	req.SetDecided(true)
 	l.MarkDecided(id)
