Count a node at one granter while messages are lost

Cause: a node left its granter after each message that could not be sent, and both granters counted it until the next heartbeat.

Change: a granter is left after 100 ms without an answer, 50 ms if a request could not be sent, and the last request is repeated at the next one. A node that changes its granter sends a heartbeat at once.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -61,7 +61,8 @@
 			s.SetViewStale(true)
 		}
 	}
-	if now-s.HeartbeatsSentAt() >= interval(s) {
+	if now-s.HeartbeatsSentAt() >= interval(s) || s.Ledger().Announcing() {
+		s.Ledger().SetAnnouncing(false)
 		updateRequestRate(s, now-s.HeartbeatsSentAt())
 		s.SetHeartbeatsSentAt(now)
 		send(s, now)
--- a/internal/direct/ctrl/grant/grant.go
+++ b/internal/direct/ctrl/grant/grant.go
@@ -23,9 +23,9 @@
 
 // Times of the choice of a granter.
 const (
-	answerTimeout  = 150 * time.Millisecond // without an answer, until another granter is chosen
+	answerTimeout  = 100 * time.Millisecond // without an answer, until another granter is chosen
+	unsentTimeout  = 50 * time.Millisecond  // the same after a request that could not be sent, as the granter may have ended
 	avoidTime      = 2 * time.Second        // for which a granter that did not answer is not chosen
-	reconnectTime  = 200 * time.Millisecond // for which a granter without an open connection is not chosen
 	chooseInterval = 50 * time.Millisecond  // between two choices if nothing has happened
 	heardTimeout   = 800 * time.Millisecond // without a message, until a node no longer counts towards its granter's weight; heartbeats come every 500 ms
 	aloneAfter     = 900 * time.Millisecond // without an answer, until a node that still hears hubs grants tokens to itself; by then its granter no longer counts it
@@ -43,10 +43,13 @@
 	receiveShares(s)
 	advance(s, now)
 	for _, m := range s.QuotaGrants() {
-		receive(s, m)
+		receive(s, m, now)
 	}
-	if at := s.Ledger().UnansweredAt(); at > 0 && now-at >= answerTimeout {
-		avoid(s, s.Ledger().Granter(), at, now, avoidTime)
+	if l := s.Ledger(); l.UnansweredAt() > 0 && now-l.UnansweredAt() >= answerTimeout {
+		avoid(s, l.UnansweredAt(), now)
+		if m := l.Unanswered(); m != nil && l.Granter() != "" {
+			ask(s, m, now)
+		}
 	}
 	if s.Ledger().Granter() == "" || now-s.Ledger().ChosenAt() >= chooseInterval {
 		choose(s, now)
@@ -67,15 +70,16 @@
 }
 
 // receive passes an answer to traffic.
-func receive(s *state.State, m *lagoon.QuotaGrant) {
+func receive(s *state.State, m *lagoon.QuotaGrant, now time.Duration) {
 	l := s.Ledger()
 	l.SetLostAt(0)
 	switch {
-	case m.From() != l.Granter() || m.Sent() < l.UnansweredAt():
+	case m.From() != l.Granter():
 	case m.Sent() < l.AskedAt():
-		l.SetUnansweredAt(l.AskedAt())
+		l.SetUnansweredAt(now) // it answers, and the answer to the last request is due
 	default:
 		l.SetUnansweredAt(0)
+		l.SetUnanswered(nil)
 	}
 	deliver(s, m)
 }
@@ -87,28 +91,29 @@
 	}
 }
 
-// ask passes a request of this node's traffic to the granter.
+// ask passes a request of this node's traffic to the granter. The last one is repeated at the next
+// granter if there is no answer. A full queue or a connection that is opened again is no reason to
+// leave a granter, so one that cannot be sent counts as nearly overdue only.
 func ask(s *state.State, m *lagoon.QuotaRequest, now time.Duration) {
 	l := s.Ledger()
-	for range beats.HubCount + 1 {
-		switch row, ok := s.Peers().Find(l.Granter()); {
-		case l.Granter() == s.Self().Name():
-			advance(s, now)
-			deliver(s, serve(s, m))
-			return
-		case !ok:
-			deliver(s, refusal(s, m))
-			return
-		case s.Link().Send(row.Member().Addr(), m):
-			l.SetAskedAt(m.Sent())
-			if l.UnansweredAt() == 0 {
-				l.SetUnansweredAt(m.Sent())
-			}
-			return
-		}
-		avoid(s, l.Granter(), m.Sent(), now, reconnectTime)
+	if l.Granter() == s.Self().Name() {
+		advance(s, now)
+		deliver(s, serve(s, m))
+		return
+	}
+	row, ok := s.Peers().Find(l.Granter())
+	if !ok {
+		deliver(s, refusal(s, m))
+		return
+	}
+	l.SetAskedAt(m.Sent())
+	l.SetUnanswered(m)
+	if l.UnansweredAt() == 0 {
+		l.SetUnansweredAt(now)
+	}
+	if !s.Link().Send(row.Member().Addr(), m) {
+		l.SetUnansweredAt(min(l.UnansweredAt(), now-answerTimeout+unsentTimeout))
 	}
-	deliver(s, refusal(s, m))
 }
 
 // refusal returns the answer of a node that has no granter.
@@ -123,10 +128,10 @@
 	return out
 }
 
-// avoid records that a granter did not answer a request, and chooses another one.
-func avoid(s *state.State, granter string, sentAt, now, duration time.Duration) {
-	if row, ok := s.Peers().Find(granter); ok {
-		row.SetAvoidUntil(now + duration)
+// avoid records that the granter did not answer a request, and chooses another one.
+func avoid(s *state.State, sentAt, now time.Duration) {
+	if row, ok := s.Peers().Find(s.Ledger().Granter()); ok {
+		row.SetAvoidUntil(now + avoidTime)
 	}
 	if s.Ledger().LostAt() == 0 {
 		s.Ledger().SetLostAt(sentAt)
@@ -154,7 +159,7 @@
 	}
 	s.Record("granter", name, fmt.Sprintf("quota tokens are asked of %q instead of %q; hubs heard: %t, a request is unanswered for %s", name, l.Granter(), heard, unanswered(s, now)))
 	l.SetGranter(name)
-	l.SetChangedAt(now)
+	l.SetAnnouncing(true) // so that two granters do not both count this node
 	l.SetUnansweredAt(0)
 	l.SetWeightDue(true)
 }
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -205,3 +205,19 @@
 		})
 	}
 }
+
+// TestQuotaWhenMessagesAreLost guards against nodes that change their granter with each lost
+// message, so that two granters count them at the same time.
+func TestQuotaWhenMessagesAreLost(t *testing.T) {
+	for _, loss := range []float64{0.02, 0.1, 0.3} {
+		t.Run(fmt.Sprint(loss), func(t *testing.T) {
+			c := newCrowd(t, 24, 8, 24, 1200)
+			c.run(6 * time.Second)
+			c.overload(6)
+			c.dropMessage = func(_, _ *node) bool { return c.rng.Float64() < loss }
+			c.forget()
+			c.run(12 * time.Second)
+			c.checkBound("messages lost")
+		})
+	}
+}
--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -3,6 +3,7 @@
 package ledger
 
 import "time"
+import "github.com/lagoontrail/lagoon"
 
 // Granter returns the node that grants tokens to this node, which may be itself; empty if none may.
 func (v *Row) Granter() string { return v.granter }
@@ -16,11 +17,11 @@
 // SetChosenAt sets when the granter was last chosen.
 func (v *Row) SetChosenAt(x time.Duration) { v.chosenAt = x }
 
-// ChangedAt returns when the granter last changed.
-func (v *Row) ChangedAt() time.Duration { return v.changedAt }
+// Announcing returns whether a heartbeat is due at once because the granter has changed.
+func (v *Row) Announcing() bool { return v.announcing }
 
-// SetChangedAt sets when the granter last changed.
-func (v *Row) SetChangedAt(x time.Duration) { v.changedAt = x }
+// SetAnnouncing sets whether a heartbeat is due at once because the granter has changed.
+func (v *Row) SetAnnouncing(x bool) { v.announcing = x }
 
 // UnansweredAt returns when the oldest request without an answer was sent to the granter; 0 if there is none.
 func (v *Row) UnansweredAt() time.Duration { return v.unansweredAt }
@@ -34,6 +35,12 @@
 // SetAskedAt sets when the last request was sent to the granter.
 func (v *Row) SetAskedAt(x time.Duration) { v.askedAt = x }
 
+// Unanswered returns the last request sent to the granter if it has no answer.
+func (v *Row) Unanswered() *lagoon.QuotaRequest { return v.unanswered }
+
+// SetUnanswered sets the last request sent to the granter if it has no answer.
+func (v *Row) SetUnanswered(x *lagoon.QuotaRequest) { v.unanswered = x }
+
 // LostAt returns when the first request that no granter answered was sent; 0 since an answer.
 func (v *Row) LostAt() time.Duration { return v.lostAt }
 
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -7,21 +7,26 @@
 //	row.SetGranter("frontend-macon-a-1")
 package ledger
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+)
 
 //go:generate go run ../../accgen -dir . -rows
 
 // Row is the state of one node.
 type Row struct {
-	granter      string        // the node that grants tokens to this node, which may be itself; empty if none may
-	chosenAt     time.Duration // when the granter was last chosen
-	changedAt    time.Duration // when the granter last changed
-	unansweredAt time.Duration // when the oldest request without an answer was sent to the granter; 0 if there is none
-	askedAt      time.Duration // when the last request was sent to the granter
-	lostAt       time.Duration // when the first request that no granter answered was sent; 0 since an answer
-	share        float64       // this node's share of all request traffic, as a hub last assigned it; 0 if none did
-	assignedAt   time.Duration // when this node, as a hub, last assigned shares
-	heardShare   float64       // the share of all traffic of the nodes that this node hears, as a hub
+	granter      string               // the node that grants tokens to this node, which may be itself; empty if none may
+	chosenAt     time.Duration        // when the granter was last chosen
+	announcing   bool                 // whether a heartbeat is due at once because the granter has changed
+	unansweredAt time.Duration        // when the oldest request without an answer was sent to the granter; 0 if there is none
+	askedAt      time.Duration        // when the last request was sent to the granter
+	unanswered   *lagoon.QuotaRequest // the last request sent to the granter if it has no answer
+	lostAt       time.Duration        // when the first request that no granter answered was sent; 0 since an answer
+	share        float64              // this node's share of all request traffic, as a hub last assigned it; 0 if none did
+	assignedAt   time.Duration        // when this node, as a hub, last assigned shares
+	heardShare   float64              // the share of all traffic of the nodes that this node hears, as a hub
 
 	hubSince time.Duration // since when this node is a hub; 0 if it is none
 
