--- a/direct.go
+++ b/direct.go
@@ -77,6 +77,18 @@
 	coldDuration time.Duration // how long the server stays cold after the announcement; json:"cold"
 	startedMilli int64         // the server's start time, in Unix milliseconds; json:"born"
 	revision     uint64        // the revision of the announcement in the platform's store
+	version      string        // the version of the program that the server runs; empty if it did not say so
+}
+
+// Rollout is an operator's order that the traffic of a service moves to servers of another
+// version, and what became of it. An invalid one says only that the object exists.
+type Rollout struct {
+	service       string        // the service name, which is also the name of the object
+	targetVersion string        // the version that the traffic moves to; json:"target"
+	duration      time.Duration // the time within which the order is to be completed
+	revision      uint64        // the revision of the object in the registry
+	state         RolloutState  // the state in the registry; RolloutOrdered if the status is about another target
+	invalid       bool          // whether the object could not be decoded, so that an earlier order stays in force
 }
 
 // RegistryUpdate is the content of one topic of a Registry, or a change to it.
@@ -90,6 +102,7 @@
 	zones    []string  // the availability zones taken out of service, for TopicZones
 	members  []Member  // the nodes announced or changed, for TopicMembers
 	removed  []string  // the IDs or names that were removed
+	rollouts []Rollout // the orders written or changed, for TopicRollouts
 }
 
 // Request is one request of a caller, to be routed.
@@ -181,6 +194,30 @@
 	silence         float64 // the time since the last response while requests are in flight, relative to a typical response time
 	remaining       float64 // the time left for a timely response, relative to a typical response time; 0 if it is unknown or the request is late
 	jitter          float64 // a fresh random number, 0 to 1; json:"noise"
+
+	slowdown    float64       // how long work is expected to take on the server now, relative to its usual time; 0 if no server of the service reports it, and then the fields below are not set
+	workLeft    time.Duration // the work left of the requests that the server has, at its usual speed
+	busyShare   float64       // the probability that the server has no free slot, 0 to 1
+	work        time.Duration // the expected work of the request, at the usual speed
+	roundTrip   time.Duration // the round-trip time on the network
+	pausedShare float64       // the probability that the server pauses, 0 to 1
+	timeLeft    time.Duration // the time left for a timely response; 0 if the request is late
+}
+
+// CostKey is what is known of an attempt before it is sent and may predict its work.
+type CostKey struct {
+	route        string // the route's name
+	service      string // the service's name
+	organisation string // the caller's organisation; empty for none
+	path         string // the path of the request
+	size         int    // the size of the request's body, in bytes
+}
+
+// Cost is the distribution of the work of a request: the time that it takes on a server of
+// usual speed without waiting. It is log-normal.
+type Cost struct {
+	mean   time.Duration // the mean; 0 if nothing is known
+	spread float64       // the standard deviation of the logarithm
 }
 
 // QuotaBounds bounds by how much the requests of an organisation may exceed its quota in any
--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
@@ -66,7 +67,10 @@
 		updateRequestRate(s, now-s.HeartbeatsSentAt())
 		s.SetHeartbeatsSentAt(now)
 		send(s, now)
+	} else if s.HeartbeatsDue() {
+		send(s, now)
 	}
+	s.SetHeartbeatsDue(false)
 }
 
 // interval returns the time between two heartbeats. A starting node sends them
@@ -108,6 +112,7 @@
 	row.SetGranter(m.Granter())
 	row.SetTrafficShare(m.TrafficShare())
 	applyRoster(row, m, now)
+	tells.Receive(s, m, now)
 	if m.Hub() {
 		applyHubState(s, m, now)
 	}
@@ -256,6 +261,7 @@
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
 	heartbeat.SetGranter(s.Ledger().Granter())
 	heartbeat.SetTrafficShare(s.Ledger().Share())
+	heartbeat.SetRolloutReports(tells.Reports(s, HasHub(s, now) || s.Hub(), now))
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
@@ -284,6 +290,7 @@
 	if s.Hub() {
 		heartbeat.SetAssignedShare(row.AssignedShare())
 	}
+	heartbeat.SetRolloutGrants(tells.GrantsFor(s, row.Member().Name(), now))
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -48,6 +48,7 @@
 	pushDelay         func() time.Duration                  // until a push arrives, while heartbeats arrive at once; nil for no delay
 	delayed           []delivery                            // the pushes on their way
 	declared          lagoon.Catalog                        // what the catalog declares, without its version
+	rollouts          *rollouts                             // the orders to roll out versions; nil in a deployment without them
 }
 
 // delivery is a message that arrives later.
@@ -151,6 +152,9 @@
 	control.SetHubWait(f.hubWait)
 	control.SetSystems(ctrl.Systems())
 	control.SetRunner(n.call)
+	if f.rollouts != nil {
+		f.rollouts.enable(n)
+	}
 	f.revision++
 	f.members[name], f.memberRevisions[name] = n.self, f.revision
 	for i, old := range f.nodes {
@@ -257,6 +261,8 @@
 				update.SetMembers(append(update.Members(), m))
 			}
 		}
+	case lagoon.TopicRollouts:
+		f.rollouts.changes(&update, after)
 	}
 	return update
 }
@@ -299,7 +305,7 @@
 // hasChanges reports whether an update contains changes.
 func hasChanges(update lagoon.RegistryUpdate) bool {
 	catalog := update.Catalog()
-	return catalog.Revision() > 0 || len(update.Replicas())+len(update.Members())+len(update.Zones())+len(update.Removed()) > 0
+	return catalog.Revision() > 0 || len(update.Replicas())+len(update.Members())+len(update.Zones())+len(update.Removed())+len(update.Rollouts()) > 0
 }
 
 // run advances virtual time.
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -6,6 +6,7 @@
 import "sync/atomic"
 import "time"
 import "github.com/lagoontrail/lagoon"
+import "github.com/lagoontrail/lagoon/internal/direct/tally"
 import "github.com/lagoontrail/lagoon/internal/direct/view"
 
 // Clock returns the clock.
@@ -142,6 +143,24 @@
 // SetShortOfTokens sets the organisations that may need quota tokens.
 func (v *Loop) SetShortOfTokens(x []string) { v.shortOfTokens = x }
 
+// CostModel returns the model of the work of requests; nil turns it off.
+func (v *Loop) CostModel() lagoon.CostModel { return v.costModel }
+
+// SetCostModel sets the model of the work of requests; nil turns it off.
+func (v *Loop) SetCostModel(x lagoon.CostModel) { v.costModel = x }
+
+// Tally returns the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *Loop) Tally() *tally.Tally { return v.tally }
+
+// SetTally sets the responses by version in the open roll-outs; nil if the deployment has none.
+func (v *Loop) SetTally(x *tally.Tally) { v.tally = x }
+
+// SplitView returns the view whose roll-outs are counted.
+func (v *Loop) SplitView() *view.View { return v.splitView }
+
+// SetSplitView sets the view whose roll-outs are counted.
+func (v *Loop) SetSplitView(x *view.View) { v.splitView = x }
+
 // Arrived returns the requests that arrived in this tick.
 func (v *Loop) Arrived() []lagoon.RowID { return v.arrived }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -23,15 +23,20 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/flows"
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
+	"github.com/lagoontrail/lagoon/internal/direct/split"
 	"github.com/lagoontrail/lagoon/internal/direct/stats"
+	"github.com/lagoontrail/lagoon/internal/direct/tally"
 	"github.com/lagoontrail/lagoon/internal/direct/tokens"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
+	"github.com/lagoontrail/lagoon/internal/direct/trips"
 	"github.com/lagoontrail/lagoon/internal/direct/usage"
+	"github.com/lagoontrail/lagoon/internal/direct/usual"
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 	"github.com/lagoontrail/lagoon/internal/mbox"
 	"github.com/lagoontrail/lagoon/internal/rows"
@@ -67,6 +72,9 @@
 	tokenRecheck  time.Duration                                              // the time of the timer that asks for quota tokens next; 0 or past for none
 	quotaGrants   []*lagoon.QuotaGrant                                       // the grants of quota tokens received in this tick
 	shortOfTokens []string                                                   // the organisations that may need quota tokens
+	costModel     lagoon.CostModel                                           // the model of the work of requests; nil turns it off
+	tally         *tally.Tally                                               // the responses by version in the open roll-outs; nil if the deployment has none
+	splitView     *view.View                                                 // the view whose roll-outs are counted
 
 	arrived       []lagoon.RowID                          // the requests that arrived in this tick
 	disconnected  []lagoon.RowID                          // the requests whose caller disconnected in this tick
@@ -86,6 +94,10 @@
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
 	usage      rows.Table[usage.Row]
+	flows      rows.Table[flows.Row]
+	trips      rows.Table[trips.Row]
+	splits     rows.Table[split.Row]
+	usual      rows.Table[usual.Row]
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -151,6 +163,18 @@
 // name.
 func (l *Loop) Usage() *rows.Table[usage.Row] { return &l.usage }
 
+// Flows returns the table of the work that this node sends to each service.
+func (l *Loop) Flows() *rows.Table[flows.Row] { return &l.flows }
+
+// Trips returns the table of the round-trip times to each availability zone.
+func (l *Loop) Trips() *rows.Table[trips.Row] { return &l.trips }
+
+// Splits returns the table of services whose attempts are split between two versions.
+func (l *Loop) Splits() *rows.Table[split.Row] { return &l.splits }
+
+// Usual returns the table of the old versions' response times.
+func (l *Loop) Usual() *rows.Table[usual.Row] { return &l.usual }
+
 // DueRows returns the rows of a kind whose timers have expired in this tick.
 func (l *Loop) DueRows(kind int) []lagoon.RowID { return l.dueRows[kind] }
 
--- a/internal/direct/node/accessors_gen.go
+++ b/internal/direct/node/accessors_gen.go
@@ -94,3 +94,27 @@
 
 // SetQuotaBounds sets the bounds on the quotas of organisations; zero values mean the defaults.
 func (v *Node) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
+
+// CostModelOff returns whether servers are chosen without the cost model.
+func (v *Node) CostModelOff() bool { return v.costModelOff }
+
+// SetCostModelOff sets whether servers are chosen without the cost model.
+func (v *Node) SetCostModelOff(x bool) { v.costModelOff = x }
+
+// RegistryWriter returns what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) RegistryWriter() lagoon.RegistryWriter { return v.registryWriter }
+
+// SetRegistryWriter sets what writes the states of roll-outs; nil if the deployment has none.
+func (v *Node) SetRegistryWriter(x lagoon.RegistryWriter) { v.registryWriter = x }
+
+// ExposureShare returns the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) ExposureShare() float64 { return v.exposureShare }
+
+// SetExposureShare sets the share of a service's requests that an unproven version may get; 0 means the default.
+func (v *Node) SetExposureShare(x float64) { v.exposureShare = x }
+
+// RollbackTime returns after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) RollbackTime() time.Duration { return v.rollbackTime }
+
+// SetRollbackTime sets after the 50th bad response of a version within which requests to it must end; 0 means the default.
+func (v *Node) SetRollbackTime(x time.Duration) { v.rollbackTime = x }
--- a/internal/direct/trfc/sim_test.go
+++ b/internal/direct/trfc/sim_test.go
@@ -1,8 +1,8 @@
 package trfc_test
 
 import (
+	"cmp"
 	"container/heap"
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -33,6 +33,8 @@
 	pending       map[chan lagoon.Response]*request
 	completed     []*request
 	attempts      []lagoon.Attempt
+	zone          string // the node's availability zone; empty for zone a
+	oracle        bool   // whether attempts go to the server that would finish them first, whatever the node chose
 }
 
 // clock is virtual time with the events that are due later. Nodes that share servers share
@@ -42,51 +44,18 @@
 	events events
 	seq    int
 	sims   []*sim
+	far    time.Duration // the delay between zones, one way; 0 for 1 ms to each server and none back
 }
 
 // request is one request of the load and its response.
 type request struct {
 	id       string
+	path     string
 	started  time.Duration
 	elapsed  time.Duration
 	response lagoon.Response
 }
 
-// server is a modeled server with slots and a queue.
-type server struct {
-	replica      lagoon.Replica
-	meanTime     time.Duration // the mean time of one request
-	slowdown     float64       // a factor of the mean time, above 1 for a slow server
-	busySlots    int
-	queue        []*job
-	maxQueue     int     // the queue length above which it refuses requests
-	silent       bool    // never responds
-	unreachable  bool    // refuses connections
-	dropsReplies bool    // runs requests and closes the connection without a response
-	lossRate     float64 // the share of responses that are lost
-	refusalRate  float64 // the share of requests that are refused
-	resetRate    float64 // the share of requests whose connection is reset when they have just started
-	pauseLength  time.Duration
-	pausePeriod  time.Duration
-	pausePhase   time.Duration
-	runs         int
-	arrivals     []time.Duration // when requests reached it
-	leaving      bool            // whether its responses say that it is leaving
-	closedUntil  time.Duration   // until when it refuses all requests and asks for a pause of the time that is left
-	otherServer  string          // the ID of the server that responds in its place; empty for none
-	failRate     float64         // the share of requests that it runs and answers with a failure
-	reply        any             // what it responds with; nil for a reply without a stamp
-}
-
-type job struct {
-	sim      *sim // the node that sent it
-	attempt  lagoon.RowID
-	server   *server // nil until the request has reached it
-	started  time.Duration
-	canceled bool
-	done     bool
-}
-
 type event struct {
 	at  time.Duration
 	seq int
@@ -185,7 +154,7 @@
 		pools[name] = p
 	}
 	var self lagoon.Member
-	self.SetZone("a")
+	self.SetZone(cmp.Or(s.zone, "a"))
 	v.SetSelf(self)
 	v.SetServersByService(serversByService)
 	v.SetServerIDs(serverIDs)
@@ -223,14 +192,25 @@
 func (s *sim) submit() *request { return s.submitWithTimeout(0) }
 
 // submitWithTimeout submits a request with the timeout that its caller sends.
-func (s *sim) submitWithTimeout(timeout time.Duration) *request {
+func (s *sim) submitWithTimeout(timeout time.Duration) *request { return s.submitTo("/x", timeout) }
+
+// submitTo submits a request for a path.
+func (s *sim) submitTo(path string, timeout time.Duration) *request {
+	return s.submitPayload(path, timeout, nil)
+}
+
+// submitKind submits a request of a kind.
+func (s *sim) submitKind(k kind) *request { return s.submitPayload("/"+k.name+"/", k.timeout, k) }
+
+func (s *sim) submitPayload(path string, timeout time.Duration, payload any) *request {
 	reply := make(chan lagoon.Response, 1)
-	q := &request{id: fmt.Sprint("r", len(s.pending)+len(s.completed)), started: s.now}
+	q := &request{id: fmt.Sprint("r", len(s.pending)+len(s.completed)), path: path, started: s.now}
 	s.pending[reply] = q
 	var a lagoon.Request
 	a.SetID(q.id)
 	a.SetHost("desk")
-	a.SetPath("/x")
+	a.SetPath(path)
+	a.SetPayload(payload)
 	a.SetTimeout(timeout)
 	row := &reqs.Row{}
 	row.SetRequest(a)
@@ -300,96 +280,6 @@
 	s.runUntil(end + 2*time.Second)
 }
 
-// startAttempt sends an attempt to a modeled server.
-func (s *sim) startAttempt(id lagoon.RowID, a lagoon.Attempt) context.CancelFunc {
-	s.attempts = append(s.attempts, a)
-	replica := a.Replica()
-	srv := s.servers[replica.ID()]
-	j := &job{sim: s, attempt: id, started: s.now}
-	const networkDelay = time.Millisecond
-	s.schedule(networkDelay, func() {
-		if !srv.unreachable {
-			j.server = srv
-			srv.arrivals = append(srv.arrivals, s.now)
-		}
-		switch {
-		case srv.unreachable:
-			s.finish(j, lagoon.StatusNotSent)
-		case srv.silent:
-		case s.now < srv.closedUntil:
-			s.finish(j, lagoon.StatusRefused)
-		case srv.otherServer != "":
-			s.finish(j, lagoon.StatusRefused)
-		case s.rng.Float64() < srv.refusalRate:
-			s.finish(j, lagoon.StatusRefused)
-		case s.rng.Float64() < srv.resetRate:
-			s.finish(j, lagoon.StatusUnknown)
-		case srv.busySlots < replica.Slots():
-			s.execute(srv, j)
-		case len(srv.queue) < srv.maxQueue:
-			srv.queue = append(srv.queue, j)
-		default:
-			s.finish(j, lagoon.StatusRefused)
-		}
-	})
-	return func() {
-		j.canceled = true
-		s.schedule(0, func() { s.finish(j, lagoon.StatusUnknown) })
-	}
-}
-
-func (s *sim) execute(srv *server, j *job) {
-	srv.busySlots++
-	srv.runs++
-	duration := time.Duration(float64(srv.meanTime) * srv.slowdown * (0.7 + 0.6*s.rng.Float64()))
-	if srv.pausePeriod > 0 {
-		if elapsed := (s.now + srv.pausePhase) % srv.pausePeriod; elapsed < srv.pauseLength {
-			duration += srv.pauseLength - elapsed
-		}
-	}
-	s.schedule(duration, func() {
-		srv.busySlots--
-		if srv.dropsReplies || s.rng.Float64() < srv.lossRate {
-			s.finish(j, lagoon.StatusUnknown)
-		} else if srv.failRate > 0 && s.rng.Float64() < srv.failRate {
-			s.finish(j, lagoon.StatusFailed)
-		} else {
-			s.finish(j, lagoon.StatusOK)
-		}
-		for len(srv.queue) > 0 && srv.busySlots < srv.replica.Slots() {
-			next := srv.queue[0]
-			srv.queue = srv.queue[1:]
-			if !next.canceled {
-				next.sim.execute(srv, next)
-			}
-		}
-	})
-}
-
-// finish reports the result of an attempt to the traffic loop, once.
-func (s *sim) finish(j *job, status lagoon.Status) {
-	if j.done {
-		return
-	}
-	j.done = true
-	var v lagoon.AttemptResult
-	v.SetStatus(status)
-	v.SetReply("answer")
-	if j.server != nil && j.server.reply != nil {
-		v.SetReply(j.server.reply)
-	}
-	if j.server != nil && status != lagoon.StatusUnknown {
-		v.SetRunning(j.server.busySlots)
-		v.SetQueued(len(j.server.queue))
-		v.SetSlots(j.server.replica.Slots())
-		v.SetLeaving(j.server.leaving)
-		v.SetPause(max(j.server.closedUntil-s.now, 0))
-		v.SetLeavingServer(j.server.otherServer)
-		v.SetAddressReused(j.server.otherServer != "")
-	}
-	s.tick(loop.AttemptDone(j.attempt, v, s.now-j.started))
-}
-
 // shareWithin returns the share of requests that were answered within a time, and
 // the share of those that cover all shards.
 func (s *sim) shareWithin(limit time.Duration) (inTime, complete float64) {
--- a/internal/direct/tries/accessors_gen.go
+++ b/internal/direct/tries/accessors_gen.go
@@ -89,3 +89,57 @@
 
 // SetRequestDone sets whether the request ended before the attempt.
 func (v *Row) SetRequestDone(x bool) { v.requestDone = x }
+
+// Zone returns the availability zone of the server.
+func (v *Row) Zone() string { return v.zone }
+
+// SetZone sets the availability zone of the server.
+func (v *Row) SetZone(x string) { v.zone = x }
+
+// CostKey returns the key of its cost, if the cost model is in use.
+func (v *Row) CostKey() lagoon.CostKey { return v.costKey }
+
+// SetCostKey sets the key of its cost, if the cost model is in use.
+func (v *Row) SetCostKey(x lagoon.CostKey) { v.costKey = x }
+
+// Cost returns the cost expected at its start.
+func (v *Row) Cost() lagoon.Cost { return v.cost }
+
+// SetCost sets the cost expected at its start.
+func (v *Row) SetCost(x lagoon.Cost) { v.cost = x }
+
+// Slowdown returns the slowdown of the server expected at its start; 0 if the server does not report it.
+func (v *Row) Slowdown() float64 { return v.slowdown }
+
+// SetSlowdown sets the slowdown of the server expected at its start; 0 if the server does not report it.
+func (v *Row) SetSlowdown(x float64) { v.slowdown = x }
+
+// Wait returns the time expected at its start until the server begins the work, and of the response on its way back.
+func (v *Row) Wait() time.Duration { return v.wait }
+
+// SetWait sets the time expected at its start until the server begins the work, and of the response on its way back.
+func (v *Row) SetWait(x time.Duration) { v.wait = x }
+
+// VersionOrder returns the order of a roll-out that it is counted for; 0 for none.
+func (v *Row) VersionOrder() uint64 { return v.versionOrder }
+
+// SetVersionOrder sets the order of a roll-out that it is counted for; 0 for none.
+func (v *Row) SetVersionOrder(x uint64) { v.versionOrder = x }
+
+// ToTarget returns whether the server has the target version of that order.
+func (v *Row) ToTarget() bool { return v.toTarget }
+
+// SetToTarget sets whether the server has the target version of that order.
+func (v *Row) SetToTarget(x bool) { v.toTarget = x }
+
+// Cold returns whether the server was cold at its start, for an attempt that is counted.
+func (v *Row) Cold() bool { return v.cold }
+
+// SetCold sets whether the server was cold at its start, for an attempt that is counted.
+func (v *Row) SetCold(x bool) { v.cold = x }
+
+// Uncounted returns whether its response is not counted, because it started before the order.
+func (v *Row) Uncounted() bool { return v.uncounted }
+
+// SetUncounted sets whether its response is not counted, because it started before the order.
+func (v *Row) SetUncounted(x bool) { v.uncounted = x }
--- a/internal/direct/tries/tries.go
+++ b/internal/direct/tries/tries.go
@@ -34,4 +34,13 @@
 	result        lagoon.AttemptResult // the result, once the attempt has ended
 	elapsed       time.Duration        // the time from the start to the end
 	requestDone   bool                 // whether the request ended before the attempt
+	zone          string               // the availability zone of the server
+	costKey       lagoon.CostKey       // the key of its cost, if the cost model is in use
+	cost          lagoon.Cost          // the cost expected at its start
+	slowdown      float64              // the slowdown of the server expected at its start; 0 if the server does not report it
+	wait          time.Duration        // the time expected at its start until the server begins the work, and of the response on its way back
+	versionOrder  uint64               // the order of a roll-out that it is counted for; 0 for none
+	toTarget      bool                 // whether the server has the target version of that order
+	cold          bool                 // whether the server was cold at its start, for an attempt that is counted
+	uncounted     bool                 // whether its response is not counted, because it started before the order
 }
--- a/internal/direct/view/view.go
+++ b/internal/direct/view/view.go
@@ -18,6 +18,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/orgs"
+	"github.com/lagoontrail/lagoon/internal/direct/terms"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -44,6 +45,7 @@
 	organisations     *orgs.Index                 // the organisations; nil without any
 	catalogOutdated   bool                        // whether a newer catalog is known to exist
 	catalogValidUntil time.Duration               // when the catalog was last confirmed, and the time within which a change must be in force; 0 if a catalog of any age may be used
+	versionTerms      map[string]*terms.Terms     // the terms of each service with an open roll-out
 }
 
 // FindRoute returns the route of a host with the longest matching path prefix.
@@ -77,5 +79,9 @@
 // The view may be older than that when a paused process continues.
 func (v *View) UsableUntilOf(id string) time.Duration { return v.usableUntil[id] }
 
+// TermsOf returns the terms on which the versions of a service may be used, or nil if it has no
+// open roll-out.
+func (v *View) TermsOf(service string) *terms.Terms { return v.versionTerms[service] }
+
 // ColdUntilOf returns the end of a server's cold phase, or 0 if it is not cold.
 func (v *View) ColdUntilOf(id string) time.Duration { return v.coldUntil[id] }
