--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -50,8 +50,8 @@
 	return row
 }
 
-// evict removes idle rows, a few for each row that is added, so that their number stays in
-// proportion to the organisations in use.
+// evict removes some of the idle rows. It is called for each row that is added and for each
+// message, so that the number of rows stays in proportion to the organisations in use.
 func evict(l *loop.Loop, now time.Duration) {
 	const scanned = 4
 	for range min(scanned, l.Usage().Len()) {
@@ -78,8 +78,8 @@
 	var r lagoon.Response
 	r.SetOutcome(lagoon.RequestOverQuota)
 	r.SetRetryAfter(wait)
-	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, %.1f requests per second here",
-		organisation.RatePerSecond(), organisation.Burst(), (now - req.TokenSince()).Round(time.Millisecond), demand(row, now)))
+	r.SetReason(fmt.Sprintf("over the quota of %g per second and a burst of %g; waited %s for tokens, more are expected in %s, %.1f requests per second here",
+		organisation.RatePerSecond(), organisation.Burst(), (now - req.TokenSince()).Round(time.Millisecond), max(row.RetryAt()-now, 0).Round(time.Millisecond), demand(row, now)))
 	req.SetResponse(r)
 	req.SetDecided(true)
 	l.MarkDecided(id)
