--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -27,6 +27,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
+	"github.com/lagoontrail/lagoon/internal/direct/ratios"
 	"github.com/lagoontrail/lagoon/internal/direct/reqs"
 	"github.com/lagoontrail/lagoon/internal/direct/shards"
 	"github.com/lagoontrail/lagoon/internal/direct/split"
@@ -98,6 +99,7 @@
 	trips      rows.Table[trips.Row]
 	splits     rows.Table[split.Row]
 	usual      rows.Table[usual.Row]
+	ratios     ratios.Histogram
 	timers     timers.Heap
 	dueRows    [4][]lagoon.RowID
 	ctx        context.Context
@@ -163,6 +165,9 @@
 // name.
 func (l *Loop) Usage() *rows.Table[usage.Row] { return &l.usage }
 
+// CostRatios returns the ratios of measured to predicted costs.
+func (l *Loop) CostRatios() *ratios.Histogram { return &l.ratios }
+
 // Flows returns the table of the work that this node sends to each service.
 func (l *Loop) Flows() *rows.Table[flows.Row] { return &l.flows }
 
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -31,6 +31,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/slots"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/timely"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/versn"
 	"github.com/lagoontrail/lagoon/internal/direct/tries"
@@ -189,8 +190,10 @@
 		return
 	}
 	c := choose.Best(l, shard, req, now)
-	replica := c.Replica()
+	replica, estimate := c.Replica(), c.Estimate()
 	switch {
+	case c.Found() && slots.TooLate(l, req, &estimate, c.Wait(), now):
+		dropAttempt(l, shard, req, "no server can respond before the deadline")
 	case c.Found() && respondsTooLate(l, shard, req, &replica, now):
 		dropAttempt(l, shard, req, "its servers are too busy to answer in time")
 	case c.Found() && !quota.Renew(l, shard.Request(), req, now):
--- a/internal/direct/tries/accessors_gen.go
+++ b/internal/direct/tries/accessors_gen.go
@@ -143,3 +143,15 @@
 
 // SetUncounted sets whether its response is not counted, because it started before the order.
 func (v *Row) SetUncounted(x bool) { v.uncounted = x }
+
+// Expected returns the time expected at its start until the response.
+func (v *Row) Expected() time.Duration { return v.expected }
+
+// SetExpected sets the time expected at its start until the response.
+func (v *Row) SetExpected(x time.Duration) { v.expected = x }
+
+// ReportAge returns the age at its start of the report from which that was estimated.
+func (v *Row) ReportAge() time.Duration { return v.reportAge }
+
+// SetReportAge sets the age at its start of the report from which that was estimated.
+func (v *Row) SetReportAge(x time.Duration) { v.reportAge = x }
--- a/internal/direct/tries/tries.go
+++ b/internal/direct/tries/tries.go
@@ -43,4 +43,6 @@
 	toTarget      bool                 // whether the server has the target version of that order
 	cold          bool                 // whether the server was cold at its start, for an attempt that is counted
 	uncounted     bool                 // whether its response is not counted, because it started before the order
+	expected      time.Duration        // the time expected at its start until the response
+	reportAge     time.Duration        // the age at its start of the report from which that was estimated
 }
