Recheck hedges less often, and limit two estimates of the cost model

Change: the next recheck waits a tenth of the rest, a rate covers half a second at least, and a sum ends at terms that change nothing.

--- a/internal/direct/flows/flows.go
+++ b/internal/direct/flows/flows.go
@@ -17,6 +17,10 @@
 // which the cost model forgets.
 const decayTime = 5 * time.Second
 
+// minFull is the least share of the window that counts as seen, half of a second. A few attempts
+// right after the first would give a rate of hundreds per second otherwise.
+const minFull = 0.1
+
 // Row is what a node sent to one service lately. The zero value is nothing.
 type Row struct {
 	count     float64 // of attempts, decayed
@@ -71,7 +75,7 @@
 
 // Rate returns the number of attempts per second.
 func (r *Row) Rate(now time.Duration) float64 {
-	full := 1 - math.Exp(-float64(now-r.begunAt)/float64(decayTime))
+	full := max(1-math.Exp(-float64(now-r.begunAt)/float64(decayTime)), minFull)
 	if r.count == 0 || full <= 0 {
 		return 0
 	}
--- a/internal/direct/trfc/costs/costs.go
+++ b/internal/direct/trfc/costs/costs.go
@@ -161,12 +161,18 @@
 	return math.Exp2(-float64(age) / float64(reportHalfLife))
 }
 
+// negligible is a probability that changes no choice.
+const negligible = 1e-9
+
 // atLeast returns the probability that a Poisson-distributed number is at least n.
 func atLeast(n int, mean float64) float64 {
 	term, below := math.Exp(-mean), 0.0
 	for i := range max(n, 0) {
 		below += term
 		term *= mean / float64(i+1)
+		if float64(i) > mean && term < negligible {
+			break // servers may announce a million slots
+		}
 	}
 	return max(1-below, 0)
 }
--- a/internal/direct/trfc/hedge/hedge.go
+++ b/internal/direct/trfc/hedge/hedge.go
@@ -45,7 +45,11 @@
 // Parameters of hedging by the cost left.
 const (
 	margin          = 1.2                  // by which the rest of an attempt must exceed the time of a new one
-	recheckInterval = 4 * time.Millisecond // while it does not
+	recheckInterval = 4 * time.Millisecond // while it does not, at least
+
+	// recheckShare is the share of the rest of an attempt after which it is considered again. A
+	// small instance cannot consider each long attempt every few milliseconds.
+	recheckShare = 0.1
 )
 
 // System hedges attempts.
@@ -86,7 +90,8 @@
 	if attempt.Slowdown() > 0 {
 		elsewhere, worth := worthwhile(l, attempt, shard, req, now)
 		if !worth {
-			l.WakeAt(now+recheckInterval, timers.HedgeDelay, id)
+			rest := costs.Rest(l, attempt, now)
+			l.WakeAt(now+max(recheckInterval, time.Duration(recheckShare*float64(rest))), timers.HedgeDelay, id)
 			return
 		}
 		view.SetTypicalLatency(min(view.Elapsed(), elsewhere))
