--- a/pkg/score/time.go
+++ b/pkg/score/time.go
@@ -11,8 +11,7 @@
 const pauseTime = 100 * time.Millisecond
 
 // otherZoneMargin is how many times shorter the expected time at another zone must be than in the
-// node's own: traffic between zones is billed, and the estimate is uncertain. With 1.6,
-// the mean of gathered requests rose by a twentieth on one of three seeds.
+// node's own: traffic between zones is billed, and the estimate is uncertain.
 const otherZoneMargin = 1.5
 
 // timeCost returns the cost of a replica whose speed is known, in seconds: the expected time
