--- a/internal/direct/trfc/shed_test.go
+++ b/internal/direct/trfc/shed_test.go
@@ -1,3 +1,7 @@
+// Without the race detector: everything here runs on one goroutine in virtual time, and takes
+// minutes with it. CI runs this package without it as well.
+//go:build !race
+
 package trfc_test
 
 import (
