Do not hold back a new version without usable old servers

A new version waits until the orders are known past its announcement. Draining, expired and unannounced servers of the old version counted as usable meanwhile, so a service could be left without a usable server for a whole outage of the registry. While a version waited, each tick also marked the view stale, which rebuilt it and lifted the limit on the election of the hubs.

Only servers that are announced, not draining, in a zone in service and allowed by their order now hold back a new version. The view is rebuilt once the revision of the orders reaches the earliest waiting announcement. publsh compares the two in each tick, which covers updates, pushes and heartbeats; every other change that matters marks the view stale already. Versions are collected only for services that have several.

--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -33,7 +33,7 @@
 		s.SetViewStale(true)
 	}
 	catalog := currency(s)
-	if !s.ViewStale() {
+	if !s.ViewStale() && !waitEnded(s) {
 		renew(s, catalog)
 		return
 	}
@@ -105,11 +105,12 @@
 	byService := map[string][]lagoon.Replica{}
 	ids := map[string]bool{}
 	coldUntil, usableUntil := map[string]time.Duration{}, map[string]time.Duration{}
-	settled := settledVersions(s)
+	s.SetWaitingRevision(0)
+	services := settledVersions(s)
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
 		replica := row.Replica()
-		if !versionUsable(s, settled, &replica) {
+		if !versionUsable(s, services, &replica) {
 			continue
 		}
 		if s.ZonesOut()[replica.Zone()] || (row.UsableUntil() > 0 && now >= row.UsableUntil()) {
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -224,6 +224,12 @@
 // SetViewStale sets whether the published view is out of date.
 func (v *State) SetViewStale(x bool) { v.viewStale = x }
 
+// WaitingRevision returns the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none.
+func (v *State) WaitingRevision() uint64 { return v.waitingRevision }
+
+// SetWaitingRevision sets the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none.
+func (v *State) SetWaitingRevision(x uint64) { v.waitingRevision = x }
+
 // HeartbeatsSentAt returns when heartbeats were last sent.
 func (v *State) HeartbeatsSentAt() time.Duration { return v.heartbeatsSentAt }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -77,6 +77,7 @@
 	stopAt            time.Duration                                                                           // when the requests in progress end because the node is stopping; 0 if it is not
 	tickedAt          *atomic.Int64                                                                           // when the last tick began, in nanoseconds of the clock; nil if nobody asks
 	viewStale         bool                                                                                    // whether the published view is out of date
+	waitingRevision   uint64                                                                                  // the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none
 	heartbeatsSentAt  time.Duration                                                                           // when heartbeats were last sent
 	results           []fetch.Result                                                                          // the results of registry calls received in this tick
 	pushes            []*lagoon.RegistryPush                                                                  // the updates that hubs pushed, received in this tick
