Count a started node as ready only once it knows the orders

The published view is synced only with the orders, but heartbeats and the list of live nodes called a node ready with the catalog and the servers. Callers could be referred to a node that answers 503, and a node that could not read the orders refused requests for as long.

One flag in the control state, ready, now drives the view, the heartbeat, the list of live nodes and the heartbeat interval. A node that lacks only the orders asks the hubs for all topics until it is ready, or while its calls fail. It serves without the orders 2 s after the catalog and the servers are known, because refusing all requests is worse. It then uses the version of each service whose servers were announced first, as the servers of a target are announced after the old ones.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -28,7 +28,7 @@
 // Heartbeat intervals and timeouts.
 const (
 	HeartbeatInterval      = 500 * time.Millisecond  // between two heartbeats to a node
-	startHeartbeatInterval = 50 * time.Millisecond   // while a node lacks the catalog or the list of servers
+	startHeartbeatInterval = 50 * time.Millisecond   // while a node lacks the catalog, the list of servers or the orders
 	NodeTimeout            = 2 * time.Second         // without a heartbeat before a node counts as failed; callers may be referred to a failed node for at most 7 s
 	HubTimeout             = 1200 * time.Millisecond // without a heartbeat before a hub is not relied on; allows for two lost heartbeats
 	cutOffAfter            = 1200 * time.Millisecond // without a registry response before another node becomes a hub; allows for one lost response and a retry
@@ -36,6 +36,11 @@
 	forgetTimeout          = 20 * time.Second        // without a heartbeat before a node no longer counts towards shares of the servers' limits
 )
 
+// maxOrdersWait is how long a starting node that has the catalog and the servers waits for the
+// orders to roll out versions. Refusing all requests for longer would be worse than to use the
+// versions that were announced first. Failed calls are repeated at least twice within it.
+const maxOrdersWait = 2 * time.Second
+
 // System exchanges heartbeats.
 type System struct{}
 
@@ -48,6 +53,7 @@
 	for _, m := range s.Heartbeats() {
 		receive(s, m, now)
 	}
+	updateReady(s, now)
 	hubs := LiveHubs(s, now)
 	for i := range s.Peers().Len() {
 		updateLive(s, s.Peers().At(i), hubs, now)
@@ -76,12 +82,31 @@
 // interval returns the time between two heartbeats. A starting node sends them
 // often, as the first one to a node only opens the connection.
 func interval(s *state.State) time.Duration {
-	if s.CatalogKnown() && s.ServersKnown() {
+	if s.Ready() {
 		return HeartbeatInterval
 	}
 	return startHeartbeatInterval
 }
 
+// updateReady updates whether this node has the catalog, the servers and, in a deployment with
+// roll-outs, the orders. A node that was ready stays so, as it keeps what it has received.
+func updateReady(s *state.State, now time.Duration) {
+	if s.Ready() || !s.CatalogKnown() || !s.ServersKnown() {
+		return
+	}
+	if s.ListsKnownAt() == 0 {
+		s.SetListsKnownAt(now)
+	}
+	if topic, ok := s.Rollouts(); ok && !topic.Synced() {
+		if now-s.ListsKnownAt() < maxOrdersWait {
+			return
+		}
+		s.Record("rollouts_unknown", s.Self().Name(), fmt.Sprintf("the orders to roll out versions could not be read within %s; the node serves with the versions that were announced first", maxOrdersWait))
+	}
+	s.SetReady(true)
+	s.SetViewStale(true)
+}
+
 // receive records the heartbeat of another node.
 func receive(s *state.State, m *lagoon.Heartbeat, now time.Duration) {
 	from := m.From()
@@ -254,7 +279,7 @@
 	heartbeat.SetFrom(s.Self())
 	heartbeat.SetSent(now)
 	heartbeat.SetStopping(s.Stopping())
-	heartbeat.SetReady(s.CatalogKnown() && s.ServersKnown())
+	heartbeat.SetReady(s.Ready())
 	heartbeat.SetHub(s.Hub())
 	heartbeat.SetRequestRate(s.RequestRate())
 	heartbeat.SetCallsFailingFor(callsFailingFor(s, now))
@@ -330,7 +355,7 @@
 // requests.
 func liveNames(s *state.State) []string {
 	var out []string
-	if s.CatalogKnown() && s.ServersKnown() && !s.Stopping() {
+	if s.Ready() && !s.Stopping() {
 		out = append(out, s.Self().Name())
 	}
 	for i := range s.Peers().Len() {
--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -154,8 +154,13 @@
 }
 
 // needsUpdate reports whether this node missed an update and its registry calls
-// fail, so that a hub has to send it all topics.
+// fail, or lacks only the orders to roll out versions, so that a hub has to send it all topics.
+// The orders alone are asked for until the node is ready or while its calls fail, because the
+// hubs may lack them as well.
 func needsUpdate(s *state.State) bool {
+	if topic, ok := s.Rollouts(); ok && !topic.Synced() && s.ListsKnownAt() > 0 && (!s.Ready() || s.CallsFailingSince() > 0) {
+		return true
+	}
 	if s.CallsFailingSince() == 0 {
 		return false
 	}
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -41,7 +41,7 @@
 	v := &view.View{}
 	v.SetSelf(s.Self())
 	v.SetCatalog(s.Catalog())
-	v.SetSynced(s.CatalogKnown() && s.ServersKnown() && rolloutsKnown(s))
+	v.SetSynced(s.Ready())
 	v.SetRegistryReachable(s.RegistryReachable())
 	v.SetRosterKnown(s.RosterKnown())
 	v.SetStopping(s.Stopping())
--- a/internal/direct/ctrl/publsh/versions.go
+++ b/internal/direct/ctrl/publsh/versions.go
@@ -10,13 +10,6 @@
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 )
 
-// rolloutsKnown reports whether the orders to roll out versions have been received, or the
-// deployment has none.
-func rolloutsKnown(s *state.State) bool {
-	topic, ok := s.Rollouts()
-	return !ok || topic.Synced()
-}
-
 // settled holds what is known of the versions of a service that has servers of several.
 type settled struct {
 	versions map[string]bool // the versions announced before the revision up to which this node knows the orders
@@ -41,6 +34,9 @@
 			known.versions[replica.Version()] = true
 		}
 	}
+	if topic.Revision() == 0 {
+		settleEarliest(s, mixed)
+	}
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
 		replica := row.Replica()
@@ -51,6 +47,26 @@
 	return mixed
 }
 
+// settleEarliest makes the version whose servers were announced first the settled one of each
+// service. A node that started and serves without the orders cannot tell whether another version
+// is the target of an open order, and the servers of a target are announced after the old ones.
+func settleEarliest(s *state.State, mixed map[string]*settled) {
+	earliest := map[string]lagoon.Replica{}
+	for i := range s.Servers().Len() {
+		row := s.Servers().At(i)
+		replica := row.Replica()
+		if mixed[replica.Service()] == nil || !inUse(s, row) {
+			continue
+		}
+		if first, ok := earliest[replica.Service()]; !ok || replica.Revision() < first.Revision() {
+			earliest[replica.Service()] = replica
+		}
+	}
+	for service, replica := range earliest {
+		mixed[service].versions[replica.Version()] = true
+	}
+}
+
 // mixedServices returns the services that have servers of several versions.
 func mixedServices(s *state.State) map[string]*settled {
 	versions := map[string]string{}
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -58,6 +58,18 @@
 // SetCatalogKnown sets whether a catalog has been received.
 func (v *State) SetCatalogKnown(x bool) { v.catalogKnown = x }
 
+// Ready returns whether the node has received what it needs to serve requests.
+func (v *State) Ready() bool { return v.ready }
+
+// SetReady sets whether the node has received what it needs to serve requests.
+func (v *State) SetReady(x bool) { v.ready = x }
+
+// ListsKnownAt returns when both the catalog and the list of servers were first known; 0 before.
+func (v *State) ListsKnownAt() time.Duration { return v.listsKnownAt }
+
+// SetListsKnownAt sets when both the catalog and the list of servers were first known; 0 before.
+func (v *State) SetListsKnownAt(x time.Duration) { v.listsKnownAt = x }
+
 // ServersKnown returns whether the list of servers has been received.
 func (v *State) ServersKnown() bool { return v.serversKnown }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -50,6 +50,8 @@
 	systems           []lagoon.System[*State]                                                                 // the systems, in execution order
 	catalog           lagoon.Catalog                                                                          // the catalog in use
 	catalogKnown      bool                                                                                    // whether a catalog has been received
+	ready             bool                                                                                    // whether the node has received what it needs to serve requests
+	listsKnownAt      time.Duration                                                                           // when both the catalog and the list of servers were first known; 0 before
 	serversKnown      bool                                                                                    // whether the list of servers has been received
 	registry          lagoon.Registry                                                                         // the registry of the catalog, servers and nodes
 	hubWait           time.Duration                                                                           // how long after its start the node waits for a hub before it reads all topics itself
