Use later versions after a completed order

After completion, and after the withdrawal of a completed order, only its target was allowed. Servers of a later version that replace it without an order were never used.

Only the versions that were old while the order was open are excluded now. Each order keeps those that it saw announced while it was open. A node that learns of the order later takes those announced before the revision at which it read the end of the order.

Before: no server of v3 in use on 7 of 7 nodes after the completed order for v2. After: v2 and v3 in use and v1 not, also on a node that started after completion, and after a withdrawal. The tests of roll-outs in internal/direct/ctrl pass.

--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -106,6 +106,7 @@
 	ids := map[string]bool{}
 	coldUntil, usableUntil := map[string]time.Duration{}, map[string]time.Duration{}
 	s.SetWaitingRevision(0)
+	observeVersions(s)
 	services := settledVersions(s)
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
--- a/internal/direct/ctrl/publsh/versions.go
+++ b/internal/direct/ctrl/publsh/versions.go
@@ -10,6 +10,20 @@
 	"github.com/lagoontrail/lagoon/internal/direct/view"
 )
 
+// observeVersions records the versions of the announced servers in the orders for their services.
+// Every change of servers or orders marks the view stale, so none is missed.
+func observeVersions(s *state.State) {
+	if s.Orders().Len() == 0 {
+		return
+	}
+	for i := range s.Servers().Len() {
+		replica := s.Servers().At(i).Replica()
+		if row, ok := s.Orders().Find(replica.Service()); ok {
+			row.ObserveVersion(replica.Version(), replica.Revision())
+		}
+	}
+}
+
 // settled holds what is known of the versions of a service that has servers of several.
 type settled struct {
 	versions map[string]bool // the versions announced before the revision up to which this node knows the orders
--- a/internal/direct/ctrl/rollout_order_test.go
+++ b/internal/direct/ctrl/rollout_order_test.go
@@ -146,3 +146,39 @@
 		t.Errorf("requests to the new version before the order is known: got %d, want at most %d", r.target, most)
 	}
 }
+
+// Guards against servers of a later version that are never used because an order for an earlier
+// one was completed, also after its withdrawal and at a node that starts after completion, and
+// against an old version that is used again.
+func TestLaterVersionAfterCompletion(t *testing.T) {
+	for _, withdrawn := range []bool{false, true} {
+		t.Run(fmt.Sprint("withdrawn ", withdrawn), func(t *testing.T) {
+			r := newRollout(t, 7, 20)
+			r.begin(orderTime)
+			for end := r.f.now + orderTime; r.state() != lagoon.RolloutCompleted && r.f.now < end; {
+				r.run(tickStep)
+			}
+			r.run(time.Second)
+			r.f.start("node-06", "a")
+			r.run(2 * time.Second) // it reads the order
+			if withdrawn {
+				r.withdraw("desk")
+			}
+			r.run(4 * time.Second)
+			for i := range 3 {
+				r.announce(fmt.Sprint("newer-", i), "v3")
+			}
+			r.announce("old-0", "v1") // announced again, as after a change of its announcement
+			r.run(4 * time.Second)
+			for _, n := range r.f.nodes {
+				used := map[string]int{}
+				for _, replica := range n.publishedView.Load().ServersOf("desk") {
+					used[replica.Version()]++
+				}
+				if used["v1"] != 0 || used["v2"] != 3 || used["v3"] != 3 {
+					t.Errorf("%s: got servers %v, want 3 of v2 and 3 of v3", n.self.Name(), used)
+				}
+			}
+		})
+	}
+}
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -36,6 +36,18 @@
 // SetExcluded sets the targets of earlier orders that were not completed.
 func (v *Row) SetExcluded(x []string) { v.excluded = x }
 
+// Old returns the versions other than the target that had servers while the order was open.
+func (v *Row) Old() []string { return v.old }
+
+// SetOld sets the versions other than the target that had servers while the order was open.
+func (v *Row) SetOld(x []string) { v.old = x }
+
+// EndedRevision returns the revision of the object when this node learned that the order had ended; 0 before.
+func (v *Row) EndedRevision() uint64 { return v.endedRevision }
+
+// SetEndedRevision sets the revision of the object when this node learned that the order had ended; 0 before.
+func (v *Row) SetEndedRevision(x uint64) { v.endedRevision = x }
+
 // Granted returns whether a decider has sent a grant for the order.
 func (v *Row) Granted() bool { return v.granted }
 
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -30,6 +30,8 @@
 	openedRevision uint64         // the revision of the object when this node learned of the order while it was open
 	withdrawnUntil time.Duration  // until when an order that operators removed keeps its effect; 0 while it exists
 	excluded       []string       // the targets of earlier orders that were not completed
+	old            []string       // the versions other than the target that had servers while the order was open
+	endedRevision  uint64         // the revision of the object when this node learned that the order had ended; 0 before
 
 	granted     bool          // whether a decider has sent a grant for the order
 	grantEcho   time.Duration // the send time of the report that the last grant answers
@@ -153,8 +155,12 @@
 		r.excluded = append(r.excluded, before.TargetVersion())
 	}
 	r.excluded = slices.DeleteFunc(r.excluded, func(version string) bool { return version == order.TargetVersion() })
+	r.old = slices.DeleteFunc(r.old, func(version string) bool { return version == order.TargetVersion() })
 	r.order = order
 	r.withdrawnUntil = 0
+	if order.State().Closed() && (replaced || !known || !before.State().Closed()) {
+		r.endedRevision = order.Revision()
+	}
 	if r.Open() && (!open || replaced) {
 		*r = Row{order: order, excluded: r.excluded, learnedAt: now, openedRevision: order.Revision(), writing: r.writing}
 		return "ordered"
@@ -174,12 +180,24 @@
 	r.withdrawnUntil = max(now+minWithdrawnTime, r.learnedAt+r.order.Duration())
 }
 
+// ObserveVersion records the version of an announced server as old if the order is open, or the
+// server was announced before the order ended. The latter matters for nodes that start later.
+func (r *Row) ObserveVersion(version string, revision uint64) {
+	if version == r.order.TargetVersion() || slices.Contains(r.old, version) {
+		return
+	}
+	if r.Open() || revision < r.endedRevision {
+		r.old = append(r.old, version)
+	}
+}
+
 // Allowed reports whether servers of a version may be used at all, apart from the shares and
-// times of an open order.
+// times of an open order. Only versions that were old while a completed order was open stay
+// unused, because later versions replace its target without an order.
 func (r *Row) Allowed(version string) bool {
 	switch {
 	case r.order.State() == lagoon.RolloutCompleted && r.order.TargetVersion() != "":
-		return version == r.order.TargetVersion()
+		return !slices.Contains(r.old, version)
 	case r.order.State() == lagoon.RolloutRolledBack && version == r.order.TargetVersion():
 		return false
 	}
