--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -33,7 +33,7 @@
 		s.SetViewStale(true)
 	}
 	catalog := currency(s)
-	if !s.ViewStale() {
+	if !s.ViewStale() && !waitEnded(s) {
 		renew(s, catalog)
 		return
 	}
@@ -41,7 +41,7 @@
 	v := &view.View{}
 	v.SetSelf(s.Self())
 	v.SetCatalog(s.Catalog())
-	v.SetSynced(s.CatalogKnown() && s.ServersKnown() && rolloutsKnown(s))
+	v.SetSynced(s.Ready())
 	v.SetRegistryReachable(s.RegistryReachable())
 	v.SetRosterKnown(s.RosterKnown())
 	v.SetStopping(s.Stopping())
@@ -105,11 +105,13 @@
 	byService := map[string][]lagoon.Replica{}
 	ids := map[string]bool{}
 	coldUntil, usableUntil := map[string]time.Duration{}, map[string]time.Duration{}
-	settled := settledVersions(s)
+	s.SetWaitingRevision(0)
+	observeVersions(s)
+	services := settledVersions(s)
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
 		replica := row.Replica()
-		if !versionUsable(s, settled, &replica) {
+		if !versionUsable(s, services, &replica) {
 			continue
 		}
 		if s.ZonesOut()[replica.Zone()] || (row.UsableUntil() > 0 && now >= row.UsableUntil()) {
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -58,6 +58,18 @@
 // SetCatalogKnown sets whether a catalog has been received.
 func (v *State) SetCatalogKnown(x bool) { v.catalogKnown = x }
 
+// Ready returns whether the node has received what it needs to serve requests.
+func (v *State) Ready() bool { return v.ready }
+
+// SetReady sets whether the node has received what it needs to serve requests.
+func (v *State) SetReady(x bool) { v.ready = x }
+
+// ListsKnownAt returns when both the catalog and the list of servers were first known; 0 before.
+func (v *State) ListsKnownAt() time.Duration { return v.listsKnownAt }
+
+// SetListsKnownAt sets when both the catalog and the list of servers were first known; 0 before.
+func (v *State) SetListsKnownAt(x time.Duration) { v.listsKnownAt = x }
+
 // ServersKnown returns whether the list of servers has been received.
 func (v *State) ServersKnown() bool { return v.serversKnown }
 
@@ -224,6 +236,12 @@
 // SetViewStale sets whether the published view is out of date.
 func (v *State) SetViewStale(x bool) { v.viewStale = x }
 
+// WaitingRevision returns the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none.
+func (v *State) WaitingRevision() uint64 { return v.waitingRevision }
+
+// SetWaitingRevision sets the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none.
+func (v *State) SetWaitingRevision(x uint64) { v.waitingRevision = x }
+
 // HeartbeatsSentAt returns when heartbeats were last sent.
 func (v *State) HeartbeatsSentAt() time.Duration { return v.heartbeatsSentAt }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -50,6 +50,8 @@
 	systems           []lagoon.System[*State]                                                                 // the systems, in execution order
 	catalog           lagoon.Catalog                                                                          // the catalog in use
 	catalogKnown      bool                                                                                    // whether a catalog has been received
+	ready             bool                                                                                    // whether the node has received what it needs to serve requests
+	listsKnownAt      time.Duration                                                                           // when both the catalog and the list of servers were first known; 0 before
 	serversKnown      bool                                                                                    // whether the list of servers has been received
 	registry          lagoon.Registry                                                                         // the registry of the catalog, servers and nodes
 	hubWait           time.Duration                                                                           // how long after its start the node waits for a hub before it reads all topics itself
@@ -77,6 +79,7 @@
 	stopAt            time.Duration                                                                           // when the requests in progress end because the node is stopping; 0 if it is not
 	tickedAt          *atomic.Int64                                                                           // when the last tick began, in nanoseconds of the clock; nil if nobody asks
 	viewStale         bool                                                                                    // whether the published view is out of date
+	waitingRevision   uint64                                                                                  // the lowest revision of the announcements that the published view leaves out until the orders are known up to them; 0 if none
 	heartbeatsSentAt  time.Duration                                                                           // when heartbeats were last sent
 	results           []fetch.Result                                                                          // the results of registry calls received in this tick
 	pushes            []*lagoon.RegistryPush                                                                  // the updates that hubs pushed, received in this tick
