Never refuse a request that may have run for its quota

Cause: the quota system looked for the results of attempts after the result system had removed them, so no request was ever recorded as having reached a server. One whose token had expired was answered 429 although an attempt had ended with an unknown result.

Change: the result system records it, and Renew admits every request that may have run.

Measured: TestRequestThatMayHaveRunIsNotOverQuota got over_quota after 2 attempts before, and lost now. The tests of internal/direct/trfc pass.

--- a/internal/direct/trfc/quota/quota.go
+++ b/internal/direct/trfc/quota/quota.go
@@ -45,14 +45,6 @@
 // Run adds the tokens granted in this tick, wakes the requests that wait for them, and asks for
 // the tokens that are needed.
 func (System) Run(l *loop.Loop, now time.Duration) {
-	for _, id := range l.Completed() {
-		if attempt, ok := l.Attempts().Resolve(id); ok {
-			result := attempt.Result()
-			if req, ok := l.Requests().Resolve(attempt.Request()); ok && result.Status() != lagoon.StatusNotSent {
-				req.SetReached(true)
-			}
-		}
-	}
 	for _, m := range l.QuotaGrants() {
 		for _, share := range m.Shares() {
 			if row, ok := l.Usage().Find(share.Organisation()); ok {
--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -87,9 +87,9 @@
 
 // Renew reports whether an attempt of a request may be started. A request that waited for longer
 // than its token was valid, without having reached a server, needs another one. It is refused if
-// none is expected.
+// none is expected, which promises that it has not run: one that may have run needs none.
 func Renew(l *loop.Loop, id lagoon.RowID, req *reqs.Row, now time.Duration) bool {
-	if req.TokenUntil() == 0 || now < req.TokenUntil() || req.Reached() {
+	if req.TokenUntil() == 0 || now < req.TokenUntil() || req.Reached() || req.MayHaveRun() {
 		return true
 	}
 	for _, shardID := range req.Shards() {
--- a/internal/direct/trfc/quota_test.go
+++ b/internal/direct/trfc/quota_test.go
@@ -232,3 +232,24 @@
 		}
 	}
 }
+
+// TestRequestThatMayHaveRunIsNotOverQuota guards against a refusal that promises that a request has
+// not run, for one whose response was lost after its token expired.
+func TestRequestThatMayHaveRunIsNotOverQuota(t *testing.T) {
+	n := newQuotaNode(t, 1, 1)
+	n.grant = all
+	for _, server := range n.servers {
+		server.meanTime = 400 * time.Millisecond
+		server.dropsReplies = true
+	}
+	q := n.submitWithKey("k-0")
+	n.runUntil(n.now + 100*time.Millisecond)
+	n.grant = none
+	for range 200 {
+		n.runUntil(n.now + 10*time.Millisecond)
+		n.submitWithKey("k-0") // so that the organisation stays without tokens
+	}
+	if got, want := q.response.Outcome(), lagoon.RequestLost; got != want {
+		t.Errorf("got outcome %s after %d attempts, want %s", got, len(n.attempts), want)
+	}
+}
--- a/internal/direct/trfc/result/result.go
+++ b/internal/direct/trfc/result/result.go
@@ -212,6 +212,9 @@
 	if !result.Status().NotRun() {
 		req.SetMayHaveRun(true)
 	}
+	if result.Status() != lagoon.StatusNotSent {
+		req.SetReached(true)
+	}
 	if shard.State() == shards.Covered || shard.State() == shards.Missing {
 		return
 	}
