--- a/internal/direct/flows/flows.go
+++ b/internal/direct/flows/flows.go
@@ -17,9 +17,9 @@
 // which the cost model forgets.
 const decayTime = 5 * time.Second
 
-// minFull is the least share of the window that counts as seen, half of a second. A few attempts
-// right after the first would give a rate of hundreds per second otherwise.
-const minFull = 0.1
+// minFull is the least share of the window that counts as seen, a tenth of a second. A second
+// attempt right after the first would give a rate of hundreds per second otherwise.
+const minFull = 0.02
 
 // Row is what a node sent to one service lately. The zero value is nothing.
 type Row struct {
