Leave stopping nodes out of the majority of a decider

After half of the nodes had stopped in an orderly way, no node heard a majority, and a roll-out had no decider.

Nodes whose last heartbeat says that they are stopping no longer count, unless a later run of the node has been announced since.

Before: no decider 7 s after 4 of 8 nodes began to stop (TestStoppingNodesDoNotCount). After: a decider. The loss of half of the nodes without a stop is not covered by this change.

--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -52,12 +52,14 @@
 
 // HearsMost reports whether this node hears more than half of the nodes that announced
 // themselves or were live within isolationTimeout. The nodes of a part that is cut off count the
-// others for that time, so that only one part decides.
+// others for that time, so that only one part decides. Stopping nodes do not count, as they leave
+// in an orderly way.
 func HearsMost(s *state.State, now time.Duration) bool {
 	running, heard := 1, 1
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
-		if last := max(row.KnownAt(), row.HeartbeatAt(), row.LiveAt()); last == 0 || now-last >= isolationTimeout {
+		leaving := row.Stopping() && row.KnownAt() <= row.HeartbeatAt() // and no later run was announced
+		if last := max(row.KnownAt(), row.HeartbeatAt(), row.LiveAt()); last == 0 || now-last >= isolationTimeout || leaving {
 			continue
 		}
 		running++
--- a/internal/direct/ctrl/rollout_failure_test.go
+++ b/internal/direct/ctrl/rollout_failure_test.go
@@ -271,3 +271,21 @@
 		r.checkBounds(bad)
 	}
 }
+
+// Guards against stopping nodes that count as running, so that no node hears a majority.
+func TestStoppingNodesDoNotCount(t *testing.T) {
+	r := newRollout(t, 8, 20)
+	r.begin(orderTime)
+	r.run(5 * time.Second)
+	for _, n := range r.f.nodes[4:] {
+		n.control.SetStopping(true)
+	}
+	r.run(2 * time.Second)
+	for _, n := range r.f.nodes[4:] {
+		n.down = true
+	}
+	r.run(5 * time.Second)
+	if r.decider() == nil {
+		t.Error("decider among the remaining nodes: got none")
+	}
+}
