Rename package tells to grants

The name said nothing about what the package does: it carries reports and grants of roll-outs in heartbeats. GrantsFor becomes For, because revive rejects grants.GrantsFor. No behaviour changes.

The tests of roll-outs in internal/direct/ctrl pass with the package renamed, before the function was; afterwards go vet and revive report nothing.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
@@ -137,7 +137,7 @@
 	row.SetGranter(m.Granter())
 	row.SetTrafficShare(m.TrafficShare())
 	applyRoster(row, m, now)
-	tells.Receive(s, m, now)
+	grants.Receive(s, m, now)
 	if m.Hub() {
 		applyHubState(s, m, now)
 	}
@@ -286,7 +286,7 @@
 	heartbeat.SetNeedsUpdate(needsUpdate(s))
 	heartbeat.SetGranter(s.Ledger().Granter())
 	heartbeat.SetTrafficShare(s.Ledger().Share())
-	heartbeat.SetRolloutReports(tells.Reports(s, HasHub(s, now) || s.Hub(), now))
+	heartbeat.SetRolloutReports(grants.Reports(s, HasHub(s, now) || s.Hub(), now))
 	var live []string
 	if s.Hub() {
 		live = liveNames(s)
@@ -315,7 +315,7 @@
 	if s.Hub() {
 		heartbeat.SetAssignedShare(row.AssignedShare())
 	}
-	heartbeat.SetRolloutGrants(tells.GrantsFor(s, row.Member().Name(), now))
+	heartbeat.SetRolloutGrants(grants.For(s, row.Member().Name(), now))
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/tells/tells.go
+++ b/internal/direct/ctrl/grants/grants.go
@@ -1,14 +1,14 @@
-// Package tells puts reports and grants on open roll-outs into heartbeats and takes them out.
+// Package grants puts reports and grants on open roll-outs into heartbeats and takes them out.
 //
 // # Usage
 //
-//	heartbeat.SetRolloutReports(tells.Reports(s, now))
-//	heartbeat.SetRolloutGrants(tells.GrantsFor(s, peer, now))
-//	tells.Receive(s, heartbeat, now)
+//	heartbeat.SetRolloutReports(grants.Reports(s, now))
+//	heartbeat.SetRolloutGrants(grants.For(s, peer, now))
+//	grants.Receive(s, heartbeat, now)
 //
 // Nodes report to all hubs, and the decider answers each report with a grant. Package rollo
 // decides what is granted.
-package tells
+package grants
 
 import (
 	"fmt"
@@ -73,8 +73,8 @@
 	return r
 }
 
-// GrantsFor returns what this node, as the decider, grants another one.
-func GrantsFor(s *state.State, node string, now time.Duration) []lagoon.RolloutGrant {
+// For returns what this node, as the decider, grants another one.
+func For(s *state.State, node string, now time.Duration) []lagoon.RolloutGrant {
 	var out []lagoon.RolloutGrant
 	for i := range s.Orders().Len() {
 		row := s.Orders().At(i)
--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -16,7 +16,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/pkg/verdict"
@@ -118,7 +118,7 @@
 	if deciding {
 		write(s, row, now)
 	}
-	tells.GrantSelf(s, row, now)
+	grants.GrantSelf(s, row, now)
 }
 
 // judgeAlone rejects the target version on this node's own responses once its lease has expired
--- a/internal/direct/ctrl/rollo/write.go
+++ b/internal/direct/ctrl/rollo/write.go
@@ -9,7 +9,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
@@ -27,7 +27,7 @@
 const switchedAge = 1500 * time.Millisecond
 
 // silentAfter is the time without a message after which the leases of a node have expired.
-const silentAfter = tells.OldLease + time.Second
+const silentAfter = grants.OldLease + time.Second
 
 // allSwitched reports whether no node uses the old versions: each reported so or has been silent
 // for longer than its leases.
--- a/internal/direct/ctrl/rollout_bench_test.go
+++ b/internal/direct/ctrl/rollout_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/rollo"
-	"github.com/lagoontrail/lagoon/internal/direct/ctrl/tells"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/tally"
@@ -51,13 +51,13 @@
 				for i, heartbeat := range beats {
 					heartbeat.SetSent(f.now)
 					heartbeat.SetRolloutReports([]lagoon.RolloutReport{reportOf(n)})
-					tells.Receive(s, heartbeat, f.now)
+					grants.Receive(s, heartbeat, f.now)
 					peer := s.Peers().At(i)
 					peer.SetHeartbeatAt(f.now)
 				}
 				rollo.System{}.Run(s, f.now)
 				for i := range s.Peers().Len() {
-					granted += len(tells.GrantsFor(s, nameOf(s.Peers().At(i)), f.now))
+					granted += len(grants.For(s, nameOf(s.Peers().At(i)), f.now))
 				}
 				return granted
 			}
