Let the weight of a new hub recover after a short stall

Cause: while a new hub does not know the shares of nodes that it does not hear, for a minute after a granter was killed, the share of the nodes that it hears could only fall. A stall of 1.5 s left it at the hub's own share.

Change: the limit of that share is a value of its own. It is the most that was found in the first two seconds as a hub, or since then while all shares were known. The share is also limited to what the known shares of unheard nodes leave.

The quota tests of internal/direct/ctrl pass, those of cut off nodes among them.

--- a/internal/direct/ctrl/grant/weight.go
+++ b/internal/direct/ctrl/grant/weight.go
@@ -73,7 +73,7 @@
 	}
 	if l.HubSince() == 0 {
 		l.SetHubSince(now)
-		l.SetHeardShare(1)
+		l.SetHeardLimit(0)
 	}
 	largest := largestNode(s)
 	own := traffic(self, s.RequestRate(), largest)
@@ -103,7 +103,9 @@
 
 // heardShare returns the share of all traffic of the nodes that this hub hears. The nodes that it
 // does not hear may be running and use the shares that they had. A hub that has not been one when
-// it last heard them does not know these, and adds up the shares that the others report.
+// it last heard them does not know these, and adds up the shares that the others report. After
+// newHubTime the sum does not exceed what it was before. It may fall and rise below that limit, so
+// that a short stall does not reduce the quota for as long as a killed node may be running.
 func heardShare(s *state.State, largest float64, now time.Duration) float64 {
 	l := s.Ledger()
 	own := traffic(s.Self(), 0, largest)
@@ -122,16 +124,19 @@
 			allPrior += traffic(row.Member(), 0, largest)
 		}
 	}
+	known := max(1-missing, 0)
+	share := known
 	switch {
 	case !unknown:
-		return max(1-missing, 0)
 	case reported == 0: // no node has a share yet, as after a start of all nodes
-		return prior / allPrior
+		share = prior / allPrior
 	case now-l.HubSince() >= newHubTime:
-		return min(reported, l.HeardShare())
+		return min(reported, l.HeardLimit(), known)
 	default:
-		return min(reported, 1)
+		share = min(reported, 1)
 	}
+	l.SetHeardLimit(max(l.HeardLimit(), share))
+	return share
 }
 
 // smooth returns a share that follows its target slowly.
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -221,3 +221,46 @@
 		})
 	}
 }
+
+// TestQuotaWhenNewHubStalls guards against a new hub that keeps the small weight of a short stall
+// for as long as the last granter, which was killed, may be running.
+func TestQuotaWhenNewHubStalls(t *testing.T) {
+	for _, after := range []time.Duration{500 * time.Millisecond, 4 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			c := newCrowd(t, 12, 6, 6, 300)
+			c.run(6 * time.Second)
+			hubs := map[string]bool{}
+			for _, n := range c.fronts {
+				hubs[n.self.Name()] = n.control.Hub()
+			}
+			c.granter().down = true
+			c.spread = c.runningLarge(6)
+			var fresh *frontNode
+			for end := c.now + 10*time.Second; fresh == nil && c.now < end; {
+				c.run(100 * time.Millisecond)
+				for _, n := range c.fronts {
+					if n.control.Hub() && !hubs[n.self.Name()] && !n.down {
+						fresh = n
+					}
+				}
+			}
+			if fresh == nil {
+				t.Fatal("got no new hub")
+			}
+			c.run(after)
+			c.dropMessage = func(from, to *node) bool { return (from == fresh.node) != (to == fresh.node) }
+			c.run(1500 * time.Millisecond)
+			c.dropMessage = nil
+			c.run(3 * time.Second)
+			c.forget()
+			c.run(10 * time.Second)
+			c.checkBound("after the stall")
+			if got := fresh.control.Ledger().HeardShare(); got < 0.5 {
+				t.Errorf("got a share of %.2f of the nodes that are heard, want all but that of the killed node", got)
+			}
+			if got := c.refusedShare(); got > 0.005 {
+				t.Errorf("got %.3f %% of the requests within the quota refused, want at most 0.5 %%", 100*got)
+			}
+		})
+	}
+}
--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -65,6 +65,12 @@
 // SetHeardShare sets the share of all traffic of the nodes that this node hears, as a hub.
 func (v *Row) SetHeardShare(x float64) { v.heardShare = x }
 
+// HeardLimit returns the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub.
+func (v *Row) HeardLimit() float64 { return v.heardLimit }
+
+// SetHeardLimit sets the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub.
+func (v *Row) SetHeardLimit(x float64) { v.heardLimit = x }
+
 // HubSince returns since when this node is a hub; 0 if it is none.
 func (v *Row) HubSince() time.Duration { return v.hubSince }
 
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -27,6 +27,7 @@
 	share        float64              // this node's share of all request traffic, as a hub last assigned it; 0 if none did
 	assignedAt   time.Duration        // when this node, as a hub, last assigned shares
 	heardShare   float64              // the share of all traffic of the nodes that this node hears, as a hub
+	heardLimit   float64              // the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub
 
 	hubSince time.Duration // since when this node is a hub; 0 if it is none
 
