Do not let a late answer make a node its own granter

Cause: the time since the first request without an answer was compared with the limit also when there was none, so a node whose hubs were all avoided named itself as soon as a late answer arrived, while hubs still counted it.

Change: the time counts only if a request is without an answer, and a late answer ends the time for which its sender is avoided.

--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -46,6 +46,7 @@
 	garble            func(m lagoon.Message) lagoon.Message // returns the message as it arrives, nil if it is lost; nil for no change
 	responseTime      time.Duration                         // of the registry; 10 ms if 0
 	pushDelay         func() time.Duration                  // until a push arrives, while heartbeats arrive at once; nil for no delay
+	grantDelay        time.Duration                         // until the answer to a request for quota tokens arrives
 	delayed           []delivery                            // the pushes on their way
 	declared          lagoon.Catalog                        // what the catalog declares, without its version
 	rollouts          *rollouts                             // the orders to roll out versions; nil in a deployment without them
@@ -200,6 +201,10 @@
 				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.pushDelay(), to, m})
 				return true
 			}
+			if _, ok := m.(*lagoon.QuotaGrant); ok && n.fleet.grantDelay > 0 {
+				n.fleet.delayed = append(n.fleet.delayed, delivery{n.fleet.now + n.fleet.grantDelay, to, m})
+				return true
+			}
 			to.mailbox = append(to.mailbox, m)
 			return true
 		}
--- a/internal/direct/ctrl/grant/grant.go
+++ b/internal/direct/ctrl/grant/grant.go
@@ -73,6 +73,9 @@
 func receive(s *state.State, m *lagoon.QuotaGrant, now time.Duration) {
 	l := s.Ledger()
 	l.SetLostAt(0)
+	if row, ok := s.Peers().Find(m.From()); ok {
+		row.SetAvoidUntil(0) // it answers, though late
+	}
 	switch {
 	case m.From() != l.Granter():
 	case m.Sent() < l.AskedAt():
@@ -151,7 +154,7 @@
 	switch {
 	case len(hubs) > 0:
 		name = hubs[0].Name()
-	case !heard || now-l.LostAt() >= aloneAfter:
+	case !heard || (l.LostAt() > 0 && now-l.LostAt() >= aloneAfter):
 		name = s.Self().Name()
 	}
 	if name == l.Granter() {
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -264,3 +264,27 @@
 		})
 	}
 }
+
+// TestQuotaWhenAnswersAreLate guards against nodes that grant tokens to themselves although hubs
+// answer, only later than expected, and count them.
+func TestQuotaWhenAnswersAreLate(t *testing.T) {
+	c := newCrowd(t, 12, 6, 6, 300)
+	c.run(6 * time.Second)
+	c.overload(6)
+	c.run(3 * time.Second)
+	c.forget()
+	c.grantDelay = 200 * time.Millisecond
+	alone := 0
+	for range 400 {
+		c.run(20 * time.Millisecond)
+		for _, n := range c.fronts {
+			if !n.control.Hub() && n.control.Ledger().Granter() == n.self.Name() {
+				alone++
+			}
+		}
+	}
+	c.checkBound("late answers")
+	if alone > 0 {
+		t.Errorf("got %d of %d times a node that grants to itself, want none", alone, 400*len(c.fronts))
+	}
+}
