Leave deployments without organisations unchanged by quotas

Cause: a heartbeat that announces another granter updated the request rate over the few milliseconds since the last heartbeat, which also set shares of the servers' limits. Granters and weights were computed and logged although no organisation needed them.

Change: an announcement only sends. Without organisations, and without requests for tokens in the last 10 s, there are no weights, announcements and lines of the choice; the granter is named every 500 ms, since hubs that name none count as ones of the earlier release.

Measured: TestChangeOfGranterKeepsRequestRate and TestNoQuotasWithoutOrganisations failed before and pass now. The quota tests of internal/direct/ctrl pass.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -62,15 +62,15 @@
 			s.SetViewStale(true)
 		}
 	}
-	if now-s.HeartbeatsSentAt() >= interval(s) || s.Ledger().Announcing() {
-		s.Ledger().SetAnnouncing(false)
+	if now-s.HeartbeatsSentAt() >= interval(s) {
 		updateRequestRate(s, now-s.HeartbeatsSentAt())
 		s.SetHeartbeatsSentAt(now)
 		send(s, now)
-	} else if s.HeartbeatsDue() {
-		send(s, now)
+	} else if s.HeartbeatsDue() || s.Ledger().Announcing() {
+		send(s, now) // the rate is not updated, as it would jump with the few requests since the last heartbeat
 	}
 	s.SetHeartbeatsDue(false)
+	s.Ledger().SetAnnouncing(false)
 }
 
 // interval returns the time between two heartbeats. A starting node sends them
--- a/internal/direct/ctrl/grant/grant.go
+++ b/internal/direct/ctrl/grant/grant.go
@@ -30,6 +30,7 @@
 	heardTimeout   = 800 * time.Millisecond // without a message, until a node no longer counts towards its granter's weight; heartbeats come every 500 ms
 	aloneAfter     = 900 * time.Millisecond // without an answer, until a node that still hears hubs grants tokens to itself; by then its granter no longer counts it
 	deniedRetry    = 300 * time.Millisecond // for callers, while the node has no granter
+	unusedAfter    = 10 * time.Second       // without organisations and requests for tokens, until weights are no longer computed; spans nodes that learn of a catalog later
 )
 
 // System grants and asks for tokens.
@@ -40,6 +41,10 @@
 
 // Run handles the answers and requests received in this tick.
 func (System) Run(s *state.State, now time.Duration) {
+	if unused(s, now) {
+		suspend(s, now)
+		return
+	}
 	receiveShares(s)
 	advance(s, now)
 	for _, m := range s.QuotaGrants() {
@@ -69,6 +74,30 @@
 	}
 }
 
+// unused reports whether there are no quotas: the catalog declares no organisations, and no node
+// with another catalog asked for tokens lately.
+func unused(s *state.State, now time.Duration) bool {
+	l := s.Ledger()
+	if catalog := s.Catalog(); len(catalog.Organisations()) > 0 || len(s.QuotaRequests()) > 0 {
+		l.SetUsedAt(now)
+	}
+	return l.UsedAt() == 0 || now-l.UsedAt() >= unusedAfter
+}
+
+// suspend forgets the weight and the buckets. The granter is still named in heartbeats, since hubs
+// that name none count as ones of the earlier release.
+func suspend(s *state.State, now time.Duration) {
+	l := s.Ledger()
+	reset(s)
+	l.SetHubSince(0)
+	l.SetClockAt(0)
+	if l.Granter() == "" || now-l.ChosenAt() >= beats.HeartbeatInterval {
+		l.SetChosenAt(now)
+		name, _ := first(s, now)
+		l.SetGranter(name)
+	}
+}
+
 // receive passes an answer to traffic.
 func receive(s *state.State, m *lagoon.QuotaGrant, now time.Duration) {
 	l := s.Ledger()
@@ -143,20 +172,11 @@
 	choose(s, now)
 }
 
-// choose chooses the granter: the first hub in an order that all nodes share, of those that are
-// heard and did not fail to answer lately. A node that hears no hub names itself. One that
-// hears hubs which do not answer has none until its last granter no longer counts it.
+// choose chooses the granter.
 func choose(s *state.State, now time.Duration) {
 	l := s.Ledger()
 	l.SetChosenAt(now)
-	heard, hubs := candidates(s, now)
-	name := ""
-	switch {
-	case len(hubs) > 0:
-		name = hubs[0].Name()
-	case !heard || (l.LostAt() > 0 && now-l.LostAt() >= aloneAfter):
-		name = s.Self().Name()
-	}
+	name, heard := first(s, now)
 	if name == l.Granter() {
 		return
 	}
@@ -167,6 +187,21 @@
 	l.SetWeightDue(true)
 }
 
+// first returns the name of the granter, and whether any hub was heard: the granter is the first hub in an order that all nodes share, of those
+// that are heard and did not fail to answer lately. A node that hears no hub names itself. One that
+// hears hubs which do not answer has none until its last granter no longer counts it.
+func first(s *state.State, now time.Duration) (name string, heard bool) {
+	heard, hubs := candidates(s, now)
+	lostAt := s.Ledger().LostAt()
+	switch {
+	case len(hubs) > 0:
+		return hubs[0].Name(), heard
+	case !heard || (lostAt > 0 && now-lostAt >= aloneAfter):
+		return s.Self().Name(), heard
+	}
+	return "", heard
+}
+
 // unanswered returns for how long no granter has answered.
 func unanswered(s *state.State, now time.Duration) time.Duration {
 	if s.Ledger().LostAt() == 0 {
--- a/internal/direct/ctrl/quota_grant_test.go
+++ b/internal/direct/ctrl/quota_grant_test.go
@@ -198,3 +198,61 @@
 		t.Errorf("got %d quota messages and %d nodes that are no hubs, want none and some", asked, checked)
 	}
 }
+
+// TestChangeOfGranterKeepsRequestRate guards against request rates that jump because a heartbeat
+// that announces another granter follows the last one after a few milliseconds.
+func TestChangeOfGranterKeepsRequestRate(t *testing.T) {
+	f := newQuotaFleet(t, 100, 500)
+	for _, n := range f.nodes {
+		n.control.SetRequestCount(&n.requestCount)
+	}
+	n := f.nodes[len(f.nodes)-1]
+	announced := 0
+	for i := range 600 {
+		n.requestCount.Add(2)
+		f.run(tickStep)
+		if i%7 == 6 {
+			sentAt := n.control.HeartbeatsSentAt()
+			n.requestCount.Add(20) // a burst between two steps
+			n.control.Ledger().SetAnnouncing(true)
+			n.control.Tick(nil)
+			announced++
+			if got := n.control.HeartbeatsSentAt(); f.now-sentAt < 500*time.Millisecond && got != sentAt {
+				t.Fatalf("got the next regular heartbeat due %s after an announcement, want it when it was due before", f.now-sentAt)
+			}
+			if n.control.Ledger().Announcing() {
+				t.Fatal("got an announcement that is still due")
+			}
+		}
+	}
+	perSecond := (600*2 + float64(announced)*20) / (600 * tickStep.Seconds())
+	if got := n.control.RequestRate(); got < 0.8*perSecond || got > 1.25*perSecond {
+		t.Errorf("got a rate of %.0f requests per second, want about %.0f", got, perSecond)
+	}
+}
+
+// TestNoQuotasWithoutOrganisations guards against weights and journal lines of quotas in a
+// deployment without organisations, and against hubs that count as ones of the earlier release
+// when organisations are declared.
+func TestNoQuotasWithoutOrganisations(t *testing.T) {
+	f := newFleet(t, 0)
+	f.startNodes(12)
+	f.run(10 * time.Second)
+	for _, n := range f.nodes {
+		l := n.control.Ledger()
+		if l.Granter() == "" {
+			t.Errorf("%s: got no granter, want one named", n.self.Name())
+		}
+		if l.Weight() > 0 || l.Share() > 0 || l.WeighedAt() > 0 || l.Announcing() {
+			t.Errorf("%s: got weight %.2f, share %.2f, weighed at %s, announcing %t, want none", n.self.Name(), l.Weight(), l.Share(), l.WeighedAt(), l.Announcing())
+		}
+	}
+	var o lagoon.Organisation
+	o.SetName("wire")
+	o.SetRatePerSecond(100)
+	o.SetBurst(500)
+	f.declared.SetOrganisations([]lagoon.Organisation{o})
+	f.changeCatalog()
+	f.run(10 * time.Second)
+	checkGranted(t, "10 s after the declaration", f.askHub(10000, 100, 500), 450, 505)
+}
--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -11,6 +11,12 @@
 // SetGranter sets the node that grants tokens to this node, which may be itself; empty if none may.
 func (v *Row) SetGranter(x string) { v.granter = x }
 
+// UsedAt returns when the catalog last declared organisations, or another node last asked for tokens; 0 if never.
+func (v *Row) UsedAt() time.Duration { return v.usedAt }
+
+// SetUsedAt sets when the catalog last declared organisations, or another node last asked for tokens; 0 if never.
+func (v *Row) SetUsedAt(x time.Duration) { v.usedAt = x }
+
 // ChosenAt returns when the granter was last chosen.
 func (v *Row) ChosenAt() time.Duration { return v.chosenAt }
 
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -18,6 +18,7 @@
 // Row is the state of one node.
 type Row struct {
 	granter      string               // the node that grants tokens to this node, which may be itself; empty if none may
+	usedAt       time.Duration        // when the catalog last declared organisations, or another node last asked for tokens; 0 if never
 	chosenAt     time.Duration        // when the granter was last chosen
 	announcing   bool                 // whether a heartbeat is due at once because the granter has changed
 	unansweredAt time.Duration        // when the oldest request without an answer was sent to the granter; 0 if there is none
