Bound the send of attempts that follow an unsent one

Cause: only the attempts of the first tick had to be sent before the token expires, so one that followed a failed connection could be sent later.

Change: attempts are bound until one has reached a server, unless another one that was started earlier is in flight. Attempts of a gathered request that start while other parts are in flight remain without a bound.

Measured: TestAttemptAfterUnsentOneExpires got attempts without a bound before, and passes now, as do the other tests of tokens in internal/direct/trfc.

--- a/internal/direct/trfc/quota/take.go
+++ b/internal/direct/trfc/quota/take.go
@@ -92,10 +92,8 @@
 	if req.TokenUntil() == 0 || now < req.TokenUntil() || req.Reached() || req.MayHaveRun() {
 		return true
 	}
-	for _, shardID := range req.Shards() {
-		if shard, ok := l.Shards().Resolve(shardID); ok && shard.Inflight() > 0 {
-			return true
-		}
+	if inflight(l, req) > 0 {
+		return true
 	}
 	organisation := req.View().OrganisationNamed(req.Organisation())
 	if organisation == nil {
@@ -118,21 +116,33 @@
 	return false
 }
 
-// SendBefore returns the time before which an attempt that is started now must be sent, or 0. The
-// first attempts must be sent while the request's token is valid.
-func SendBefore(req *reqs.Row, now time.Duration) time.Duration {
-	if req.TokenUntil() == 0 {
+// SendBefore returns the time before which an attempt that is started now must be sent, or 0. While
+// none has reached a server, and none that was started earlier is in flight, attempts must be sent
+// while the request's token is valid. It is called when the attempt counts as in flight.
+func SendBefore(l *loop.Loop, req *reqs.Row, now time.Duration) time.Duration {
+	if req.TokenUntil() == 0 || req.Reached() {
 		return 0
 	}
-	if req.SentAt() == 0 {
+	if req.SentAt() == 0 || inflight(l, req) <= 1 {
 		req.SetSentAt(now)
 	}
-	if req.SentAt() != now || req.Reached() {
+	if req.SentAt() != now {
 		return 0
 	}
 	return req.TokenUntil()
 }
 
+// inflight returns the number of attempts of a request that are in flight.
+func inflight(l *loop.Loop, req *reqs.Row) int {
+	sum := 0
+	for _, id := range req.Shards() {
+		if shard, ok := l.Shards().Resolve(id); ok {
+			sum += shard.Inflight()
+		}
+	}
+	return sum
+}
+
 // Return returns the token of a request that ends without having been sent.
 func Return(l *loop.Loop, req *reqs.Row, now time.Duration) {
 	if req.TokenUntil() <= now || req.SentAt() > 0 {
--- a/internal/direct/trfc/quota_test.go
+++ b/internal/direct/trfc/quota_test.go
@@ -253,3 +253,24 @@
 		t.Errorf("got outcome %s after %d attempts, want %s", got, len(n.attempts), want)
 	}
 }
+
+// TestAttemptAfterUnsentOneExpires guards against a token that is used after its time by an attempt
+// that follows one which was not sent.
+func TestAttemptAfterUnsentOneExpires(t *testing.T) {
+	n := newQuotaNode(t, 1, 1)
+	n.grant = all
+	for _, server := range n.servers {
+		server.unreachable = true
+	}
+	start := n.now
+	n.submitWithKey("k-0")
+	n.runUntil(start + 200*time.Millisecond)
+	for i, a := range n.attempts {
+		if at := a.SendBefore(); at <= start || at > start+300*time.Millisecond {
+			t.Errorf("attempt %d: got one that must be sent before %s, want the time at which its token expires", i, at)
+		}
+	}
+	if len(n.attempts) < 2 {
+		t.Errorf("got %d attempts, want one after the first", len(n.attempts))
+	}
+}
--- a/internal/direct/trfc/sched/sched.go
+++ b/internal/direct/trfc/sched/sched.go
@@ -303,7 +303,7 @@
 	a.SetTimeout(req.Deadline() - now)
 	a.SetRecentConnOnly(!req.Route().Idempotent())
 	a.SetCloseConn(choose.ConnectionShare(l, r.Service()) < 1)
-	a.SetSendBefore(earlier(leave.LastUse(l, &r, now), quota.SendBefore(req, now)))
+	a.SetSendBefore(earlier(leave.LastUse(l, &r, now), quota.SendBefore(l, req, now)))
 	a.SetPayload(request.Payload())
 	a.SetOrganisation(req.Organisation())
 	a.SetIdentified(req.View().Identified() || l.View().Identified()) // a key is not forwarded once the node knows that it is one
