--- a/internal/direct/trfc/admit/identify.go
+++ b/internal/direct/trfc/admit/identify.go
@@ -17,6 +17,7 @@
 func identify(l *loop.Loop, id lagoon.RowID, req *reqs.Row, route *lagoon.Route, now time.Duration) (*lagoon.Organisation, bool) {
 	v, request := req.View(), req.Request()
 	req.SetRank(route.Priority())
+	req.SetOrganisation("") // a request that waited may have had one under an earlier catalog
 	if !v.Identified() || route.Public() {
 		return nil, true
 	}
--- a/internal/direct/trfc/quota_test.go
+++ b/internal/direct/trfc/quota_test.go
@@ -274,3 +274,25 @@
 		t.Errorf("got %d attempts, want one after the first", len(n.attempts))
 	}
 }
+
+// TestWaitingRequestOfPublicRouteHasNoOrganisation guards against a request that servers get in the
+// name of an organisation although its route became public while it waited for tokens.
+func TestWaitingRequestOfPublicRouteHasNoOrganisation(t *testing.T) {
+	n := newQuotaNode(t, 1, 1)
+	q := n.submitWithKey("k-0")
+	n.runUntil(n.now + 10*time.Millisecond)
+	v := *n.publishedView.Load()
+	route := *v.Routes()["desk"][0]
+	route.SetPublic(true)
+	v.SetRoutes(map[string][]*lagoon.Route{"desk": {&route}})
+	n.publishedView.Store(&v)
+	n.runUntil(n.now + time.Second)
+	if got, want := q.response.Outcome(), lagoon.RequestGathered; got != want || len(n.attempts) == 0 {
+		t.Fatalf("got outcome %s after %d attempts, want %s", got, len(n.attempts), want)
+	}
+	for _, a := range n.attempts {
+		if a.Organisation() != "" {
+			t.Errorf("got an attempt in the name of %q, want none", a.Organisation())
+		}
+	}
+}
