--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -11,6 +11,12 @@
 // SetGranter sets the node that grants tokens to this node, which may be itself; empty if none may.
 func (v *Row) SetGranter(x string) { v.granter = x }
 
+// UsedAt returns when the catalog last declared organisations, or another node last asked for tokens; 0 if never.
+func (v *Row) UsedAt() time.Duration { return v.usedAt }
+
+// SetUsedAt sets when the catalog last declared organisations, or another node last asked for tokens; 0 if never.
+func (v *Row) SetUsedAt(x time.Duration) { v.usedAt = x }
+
 // ChosenAt returns when the granter was last chosen.
 func (v *Row) ChosenAt() time.Duration { return v.chosenAt }
 
@@ -65,6 +71,12 @@
 // SetHeardShare sets the share of all traffic of the nodes that this node hears, as a hub.
 func (v *Row) SetHeardShare(x float64) { v.heardShare = x }
 
+// HeardLimit returns the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub.
+func (v *Row) HeardLimit() float64 { return v.heardLimit }
+
+// SetHeardLimit sets the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub.
+func (v *Row) SetHeardLimit(x float64) { v.heardLimit = x }
+
 // HubSince returns since when this node is a hub; 0 if it is none.
 func (v *Row) HubSince() time.Duration { return v.hubSince }
 
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -18,6 +18,7 @@
 // Row is the state of one node.
 type Row struct {
 	granter      string               // the node that grants tokens to this node, which may be itself; empty if none may
+	usedAt       time.Duration        // when the catalog last declared organisations, or another node last asked for tokens; 0 if never
 	chosenAt     time.Duration        // when the granter was last chosen
 	announcing   bool                 // whether a heartbeat is due at once because the granter has changed
 	unansweredAt time.Duration        // when the oldest request without an answer was sent to the granter; 0 if there is none
@@ -27,6 +28,7 @@
 	share        float64              // this node's share of all request traffic, as a hub last assigned it; 0 if none did
 	assignedAt   time.Duration        // when this node, as a hub, last assigned shares
 	heardShare   float64              // the share of all traffic of the nodes that this node hears, as a hub
+	heardLimit   float64              // the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub
 
 	hubSince time.Duration // since when this node is a hub; 0 if it is none
 
