Remember nodes beyond a broken link for 10 minutes

Cause: nodes that were not heard for a minute no longer counted, so both sides of a link that was broken for longer used the whole quota.

Change: announced nodes count for 10 minutes after they were last heard. A node that is no hub uses its share for nearly as long after a hub last assigned it, and hubs no longer repeat the share of a node that they do not hear.

TestShareExpires failed before and passes now. The quota tests of internal/direct/ctrl pass, as do its other tests. The share of a killed node that remains announced is held back for as long.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -287,7 +287,7 @@
 // roster, as its version is not known. live is the content of the roster.
 func heartbeatFor(s *state.State, row *peers.Row, heartbeat lagoon.Heartbeat, live []string, now time.Duration) *lagoon.Heartbeat {
 	heartbeat.SetRosterAcked(row.RosterVersion())
-	if s.Hub() {
+	if s.Hub() && now-row.AssignedAt() < NodeTimeout { // a node that is not heard keeps its share for a limited time only
 		heartbeat.SetAssignedShare(row.AssignedShare())
 	}
 	heartbeat.SetRolloutGrants(tells.GrantsFor(s, row.Member().Name(), now))
--- a/internal/direct/ctrl/grant/grant.go
+++ b/internal/direct/ctrl/grant/grant.go
@@ -45,7 +45,7 @@
 		suspend(s, now)
 		return
 	}
-	receiveShares(s)
+	receiveShares(s, now)
 	advance(s, now)
 	for _, m := range s.QuotaGrants() {
 		receive(s, m, now)
--- a/internal/direct/ctrl/grant/weight.go
+++ b/internal/direct/ctrl/grant/weight.go
@@ -12,12 +12,13 @@
 
 // Times and rates of weights.
 const (
-	rememberTime = time.Minute      // for which the traffic of a node that is not heard counts; it may be running beyond a broken link
-	startingTime = 20 * time.Second // for which an announced node counts that was not heard yet
-	forgetStop   = 5 * time.Second  // for which the traffic of a node that stops counts after its last heartbeat
-	newHubTime   = 2 * time.Second  // for which a new hub has not heard all nodes yet; spans several heartbeats
-	priorRate    = 0.1              // requests per second of a node that callers are referred to, before rates are known
-	smallPrior   = 0.01 * priorRate // of any other node
+	rememberTime = 10 * time.Minute                         // for which the traffic of an announced node that is not heard counts; it may be running beyond a broken link, and links are broken for minutes
+	shareTime    = rememberTime - 2*beats.HeartbeatInterval // for which a node uses its share if no hub assigns it again; ends before the hubs forget the node
+	startingTime = 20 * time.Second                         // for which an announced node counts that was not heard yet
+	forgetStop   = 5 * time.Second                          // for which the traffic of a node that stops counts after its last heartbeat
+	newHubTime   = 2 * time.Second                          // for which a new hub has not heard all nodes yet; spans several heartbeats
+	priorRate    = 0.1                                      // requests per second of a node that callers are referred to, before rates are known
+	smallPrior   = 0.01 * priorRate                         // of any other node
 )
 
 // shareWeight is the weight of the last interval between two heartbeats in the share that a hub
@@ -66,6 +67,9 @@
 	l, self := s.Ledger(), s.Self()
 	if !s.Hub() {
 		l.SetHubSince(0)
+		if now-l.ShareAt() >= shareTime {
+			l.SetShare(0)
+		}
 		if l.Granter() == self.Name() {
 			return l.Share()
 		}
@@ -151,6 +155,7 @@
 func assign(s *state.State, shareOfTraffic, largest float64, now time.Duration) {
 	l := s.Ledger()
 	l.SetShare(smooth(l.Share(), shareOfTraffic*traffic(s.Self(), s.RequestRate(), largest)))
+	l.SetShareAt(now)
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
 		if !isHeard(row, now) {
@@ -167,16 +172,18 @@
 
 // receiveShares adopts the share that this node's granter assigned to it, or any hub if it has
 // none. Hubs of the earlier release assign none, but say how much traffic there is.
-func receiveShares(s *state.State) {
+func receiveShares(s *state.State, now time.Duration) {
 	l := s.Ledger()
 	for _, m := range s.Heartbeats() {
 		from := m.From()
 		accepted := from.Name() == l.Granter() || l.Granter() == "" || l.Granter() == s.Self().Name()
 		if m.Hub() && m.AssignedShare() > 0 && !s.Hub() && accepted {
 			l.SetShare(min(m.AssignedShare(), 1))
+			l.SetShareAt(now)
 		}
 		if m.Hub() && m.Granter() == "" && !s.Hub() && l.Granter() == s.Self().Name() && m.TotalRequestRate() > 0 && s.RequestRate() > 0 {
 			l.SetShare(smooth(l.Share(), min(s.RequestRate()/m.TotalRequestRate(), 1)))
+			l.SetShareAt(now)
 		}
 	}
 }
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -288,3 +288,45 @@
 		t.Errorf("got %d of %d times a node that grants to itself, want none", alone, 400*len(c.fronts))
 	}
 }
+
+// TestQuotaWhenNodesAreCutOffForLong guards against two sides of a broken link that both use the
+// whole quota once they have forgotten each other.
+func TestQuotaWhenNodesAreCutOffForLong(t *testing.T) {
+	c := newCrowd(t, 12, 6, 6, 300)
+	c.run(6 * time.Second)
+	c.overload(6)
+	c.run(3 * time.Second)
+	out := map[string]bool{}
+	for i, n := range c.fronts {
+		if !n.control.Hub() && i < 6 && len(out) < 2 {
+			out[n.self.Name()] = true
+		}
+	}
+	c.dropMessage = func(from, to *node) bool { return out[from.self.Name()] != out[to.self.Name()] }
+	c.run(58 * time.Second)
+	c.checkBound("after 58 s")
+	c.forget()
+	c.run(20 * time.Second)
+	c.checkBound("after 78 s")
+}
+
+// TestShareExpires guards against a node that uses its share after the hubs have forgotten it and
+// granted this share to others.
+func TestShareExpires(t *testing.T) {
+	f := newQuotaFleet(t, 100, 500)
+	f.run(10 * time.Second)
+	n := f.nodes[len(f.nodes)-1]
+	if n.control.Hub() {
+		t.Fatal("got a hub, want a node that is none")
+	}
+	share := n.control.Ledger().Share()
+	f.dropMessage = func(from, _ *node) bool { return from == n } // it hears hubs, and so does not become one
+	f.run(10 * time.Second)
+	if got := n.control.Ledger().Share(); got != share || got == 0 {
+		t.Errorf("got a share of %.3f after 10 s unheard, want %.3f", got, share)
+	}
+	f.run(10 * time.Minute)
+	if got := n.control.Ledger().Share(); got > 0 {
+		t.Errorf("got a share of %.3f after 10 min unheard, want none", got)
+	}
+}
--- a/internal/direct/ledger/accessors_gen.go
+++ b/internal/direct/ledger/accessors_gen.go
@@ -59,6 +59,12 @@
 // SetShare sets this node's share of all request traffic, as a hub last assigned it; 0 if none did.
 func (v *Row) SetShare(x float64) { v.share = x }
 
+// ShareAt returns when this share was last assigned.
+func (v *Row) ShareAt() time.Duration { return v.shareAt }
+
+// SetShareAt sets when this share was last assigned.
+func (v *Row) SetShareAt(x time.Duration) { v.shareAt = x }
+
 // AssignedAt returns when this node, as a hub, last assigned shares.
 func (v *Row) AssignedAt() time.Duration { return v.assignedAt }
 
--- a/internal/direct/ledger/ledger.go
+++ b/internal/direct/ledger/ledger.go
@@ -26,6 +26,7 @@
 	unanswered   *lagoon.QuotaRequest // the last request sent to the granter if it has no answer
 	lostAt       time.Duration        // when the first request that no granter answered was sent; 0 since an answer
 	share        float64              // this node's share of all request traffic, as a hub last assigned it; 0 if none did
+	shareAt      time.Duration        // when this share was last assigned
 	assignedAt   time.Duration        // when this node, as a hub, last assigned shares
 	heardShare   float64              // the share of all traffic of the nodes that this node hears, as a hub
 	heardLimit   float64              // the most that heardShare may be while the shares of some nodes that are not heard are unknown; set when this node becomes a hub
