--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -19,7 +19,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
-	"github.com/lagoontrail/lagoon/pkg/verdict"
+	"github.com/lagoontrail/lagoon/pkg/canary"
 )
 
 // decideInterval is the time between two looks at an order: a heartbeat interval, in which each
@@ -135,7 +135,7 @@
 // observe gives the reported responses to the test.
 func observe(s *state.State, row *orders.Row, elapsed time.Duration) {
 	if row.Test() == nil {
-		row.SetTest(&verdict.Test{})
+		row.SetTest(&canary.Test{})
 	}
 	for route, c := range row.Pending() {
 		row.Test().Observe(route, elapsed, c.Old(), c.OldBad(), c.Target(), c.TargetBad())
--- a/internal/direct/work/work.go
+++ b/internal/direct/flight/flight.go
@@ -1,11 +1,11 @@
-// Package work lists the attempts in flight at one server with their expected costs.
+// Package flight lists the attempts in flight at one server with their expected costs.
 //
 // # Usage
 //
 //	list.Add(id, cost, startsAt)
 //	left, likelihood := list.Left(silentSince, slowdown, now)
 //	list.Remove(id)
-package work
+package flight
 
 import (
 	"slices"
--- a/internal/direct/health/health.go
+++ b/internal/direct/health/health.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon/internal/direct/bias"
-	"github.com/lagoontrail/lagoon/internal/direct/work"
+	"github.com/lagoontrail/lagoon/internal/direct/flight"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -36,12 +36,12 @@
 	addressReusedStart  int64         // the start time of the run at whose address another server responded, in Unix milliseconds
 	slowdown            float64       // how long work takes on the server, relative to its usual time, as last reported; 0 if it does not report that
 
-	work work.List
+	work flight.List
 	bias bias.Average
 }
 
 // WorkRef returns the attempts in flight with their costs, to be modified in place.
-func (r *Row) WorkRef() *work.List { return &r.work }
+func (r *Row) WorkRef() *flight.List { return &r.work }
 
 // BiasRef returns how the measured times deviate from the reported speed, to be modified in place.
 func (r *Row) BiasRef() *bias.Average { return &r.bias }
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -4,7 +4,7 @@
 
 import "time"
 import "github.com/lagoontrail/lagoon"
-import "github.com/lagoontrail/lagoon/pkg/verdict"
+import "github.com/lagoontrail/lagoon/pkg/canary"
 
 // Order returns the last valid order.
 func (v *Row) Order() lagoon.Rollout { return v.order }
@@ -115,10 +115,10 @@
 func (v *Row) SetSent(x []Sent) { v.sent = x }
 
 // Own returns the test of the target version on this node's own responses.
-func (v *Row) Own() *verdict.Test { return v.own }
+func (v *Row) Own() *canary.Test { return v.own }
 
 // SetOwn sets the test of the target version on this node's own responses.
-func (v *Row) SetOwn(x *verdict.Test) { v.own = x }
+func (v *Row) SetOwn(x *canary.Test) { v.own = x }
 
 // OwnCounts returns the responses that it has seen.
 func (v *Row) OwnCounts() []lagoon.RolloutCounts { return v.ownCounts }
@@ -145,10 +145,10 @@
 func (v *Row) SetPending(x map[string]*lagoon.RolloutCounts) { v.pending = x }
 
 // Test returns at a hub, the test of the target version.
-func (v *Row) Test() *verdict.Test { return v.test }
+func (v *Row) Test() *canary.Test { return v.test }
 
 // SetTest sets at a hub, the test of the target version.
-func (v *Row) SetTest(x *verdict.Test) { v.test = x }
+func (v *Row) SetTest(x *canary.Test) { v.test = x }
 
 // DecidedAt returns at a hub, when the order was last looked at.
 func (v *Row) DecidedAt() time.Duration { return v.decidedAt }
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
-	"github.com/lagoontrail/lagoon/pkg/verdict"
+	"github.com/lagoontrail/lagoon/pkg/canary"
 )
 
 //go:generate go run ../../accgen -dir . -rows
@@ -45,13 +45,13 @@
 	badLimit    uint64        // the number of bad responses at which the node stops using the target; 0 for no limit
 	sent        []Sent        // the reports that a grant may still answer
 
-	own       *verdict.Test          // the test of the target version on this node's own responses
+	own       *canary.Test           // the test of the target version on this node's own responses
 	ownCounts []lagoon.RolloutCounts // the responses that it has seen
 	hubSince  time.Duration          // since when this node has tested the target version as a hub; 0 if it does not
 
 	reports      map[string]*Report               // at a hub, the last report of each node
 	pending      map[string]*lagoon.RolloutCounts // at a hub, the responses by route that the test has not seen yet
-	test         *verdict.Test                    // at a hub, the test of the target version
+	test         *canary.Test                     // at a hub, the test of the target version
 	decidedAt    time.Duration                    // at a hub, when the order was last looked at
 	age          time.Duration                    // at a hub, the longest time for which a node has known the order
 	deciding     bool                             // whether this node is the decider and grants
@@ -102,7 +102,7 @@
 // ObserveOwn gives this node's own responses to its own test.
 func (r *Row) ObserveOwn(counts []lagoon.RolloutCounts, elapsed time.Duration) {
 	if r.own == nil {
-		r.own = &verdict.Test{}
+		r.own = &canary.Test{}
 	}
 	for _, c := range counts {
 		p := previousCounts(r.ownCounts, c)
--- a/pkg/verdict/verdict.go
+++ b/pkg/canary/canary.go
@@ -1,8 +1,8 @@
-// Package verdict tests whether a new version of a service responds worse than the old ones.
+// Package canary tests whether a new version of a service responds worse than the old ones.
 //
 // # Usage
 //
-//	var t verdict.Test
+//	var t canary.Test
 //	t.Observe("browse", elapsed, old, oldBad, target, targetBad) // the responses since the last call
 //	if t.Rejected() { log(t.Evidence()) }
 //
@@ -10,7 +10,7 @@
 // responses of the target version against that of the old versions on the same route at about
 // the same time. The sum starts again at zero, so that a version that turns bad after many good
 // responses is noticed as soon as one that is bad at once.
-package verdict
+package canary
 
 import (
 	"fmt"
--- a/pkg/verdict/verdict_test.go
+++ b/pkg/canary/canary_test.go
@@ -1,4 +1,4 @@
-package verdict_test
+package canary_test
 
 import (
 	"math/rand/v2"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/lagoontrail/lagoon/pkg/verdict"
+	"github.com/lagoontrail/lagoon/pkg/canary"
 )
 
 // The simulated roll-out: counts arrive every step; all requests go to the target from shiftAt
@@ -29,7 +29,7 @@
 // run runs a roll-out and returns whether the version was rejected, and how many bad responses
 // it had given by then.
 func (r rollout) run(rng *rand.Rand) (rejected bool, bad int) {
-	var t verdict.Test
+	var t canary.Test
 	share, owed := 0.0, make([]float64, routes)
 	for i := range shiftAt + shiftSteps {
 		share = []float64{0.02, 0.04, 0.06}[min(i/12, 2)]
@@ -149,7 +149,7 @@
 
 // Guards against a service whose old version fails as well and whose new one is blamed for it.
 func TestFailuresOfBothVersionsAreNoEvidence(t *testing.T) {
-	var test verdict.Test
+	var test canary.Test
 	for range 50 {
 		test.Observe("browse", step, 100, 50, 10, 5)
 	}
