Clear the organisation of a waiting request only where organisations are declared

Change: without organisations nothing is set or cleared. Result: the tests of admission, keys, quotas and false reports in internal/direct/trfc pass (48 s).

--- a/internal/direct/trfc/admit/identify.go
+++ b/internal/direct/trfc/admit/identify.go
@@ -17,8 +17,11 @@
 func identify(l *loop.Loop, id lagoon.RowID, req *reqs.Row, route *lagoon.Route, now time.Duration) (*lagoon.Organisation, bool) {
 	v, request := req.View(), req.Request()
 	req.SetRank(route.Priority())
+	if !v.Identified() {
+		return nil, true
+	}
 	req.SetOrganisation("") // a request that waited may have had one under an earlier catalog
-	if !v.Identified() || route.Public() {
+	if route.Public() {
 		return nil, true
 	}
 	if reason := unusable(l, v, now); reason != "" {
