review: a draining server is used again when its entry returns

Cause: the row of a draining server whose entry lapsed is removed with the time at which the server began to drain. An entry that returns counts as new.

--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,7 @@
 	work                    time.Duration
 	slots, queue            int
 	born                    time.Time
+	state                   string // empty for ready
 	running                 atomic.Int64
 	stamps                  atomic.Int64
 	mu                      sync.Mutex
@@ -47,7 +49,7 @@
 func (s *server) announce(st *store, cold time.Duration) {
 	st.put("servers", s.id, map[string]any{
 		"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "maxConcurrency": s.slots,
-		"state": "ready", "warmupLeftMs": cold.Milliseconds(), "callSeq": 1, "born": s.born.UnixMilli(),
+		"state": cmp.Or(s.state, "ready"), "warmupLeftMs": cold.Milliseconds(), "callSeq": 1, "born": s.born.UnixMilli(),
 	})
 }
 
