review: a server that has left is used while the store turns nodes away

Cause: if a quarter of the servers is without entry within 4 s of calls to the store that failed, a server that is gone is used for 2.1 s from when the node learns of it. A hub whose calls fail is enough, and delays the news.

Change: case 9, a script.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,4 +8,4 @@
   echo "build the deploy file and review/build-2.sh first" >&2
   exit 2
 fi
-exec "$standins" cold "$program" "$root/review/9"
+exec "$standins" lapse "$program" "$root/review/9"
--- a/review/standins-2/cold.go
+++ b/review/standins-2/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -13,6 +14,9 @@
 	warmupSlack   = 5
 )
 
+// crashPerS is the rate, well above warmupPerS, at which a cold server crashes.
+const crashPerS = 70
+
 // coldCutTime is how long the regions have been cut from each other when the servers become
 // cold.
 const coldCutTime = 26 * time.Second
@@ -21,7 +25,18 @@
 func cold(b *bench) int {
 	var servers []*server
 	for i := range 2 {
-		s := &server{id: fmt.Sprintf("i-%d", i), service: "lookup", zone: []string{"north-a", "south-a"}[i%2], work: 10 * time.Millisecond, slots: 64}
+		s := &server{id: fmt.Sprintf("i-%d", i), service: "lookup", zone: []string{"north-a", "south-a"}[i%2], slots: 64}
+		s.answer = func(w http.ResponseWriter, _ *http.Request, n int) bool {
+			if s.coldRuns(time.Second) > crashPerS {
+				s.crashed.Store(true)
+			}
+			time.Sleep(10 * time.Millisecond)
+			if s.crashed.Load() {
+				panic(http.ErrAbortHandler) // ends the connection
+			}
+			return false
+		}
+		s.setCold(false)
 		s.start(b.store)
 		servers = append(servers, s)
 	}
@@ -41,6 +56,7 @@
 	}
 	time.Sleep(coldCutTime)
 	for _, s := range servers {
+		s.setCold(true)
 		s.announce(b.store, warmupTime)
 	}
 	coldFrom := time.Now()
@@ -48,6 +64,7 @@
 	time.Sleep(warmupTime)
 	for _, s := range servers {
 		s.announce(b.store, 0)
+		s.setCold(false)
 	}
 	coldUntil := time.Now()
 	b.record.say("the servers are warm")
@@ -66,8 +83,16 @@
 		}
 		n, at := mostWithin(ran, time.Second)
 		b.record.say("most requests that were sent to %s and arrived within a second while it was cold: %d, from second %.1f; the rule allows %.0f", s.id, n, b.seconds(at), bound)
+		b.record.say("%s has crashed: %t", s.id, s.crashed.Load())
 		most = max(most, n)
 	}
+	answers := map[int]int{}
+	for _, a := range c.sent {
+		if a.at.After(coldFrom) {
+			answers[a.status]++
+		}
+	}
+	b.record.say("answers since the servers became cold, 0 for none: %v", answers)
 	if float64(most) > bound {
 		return exitBroken
 	}
--- a/review/standins-2/crowd.go
+++ b/review/standins-2/crowd.go
@@ -68,7 +68,7 @@
 	for i := range 3 {
 		n := &node{name: fmt.Sprintf("north-%d", i+1), zone: "north-a", region: "north", zones: map[string]string{"north-a": "north"}, folder: b.folder, binary: b.binary, contracts: plainContracts}
 		n.reserve()
-		n.storeAddr = b.store.serve(nil)
+		n.door = b.store.serve(nil)
 		b.nodes = append(b.nodes, n)
 	}
 	for _, n := range b.nodes {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -66,7 +66,7 @@
 	}
 }
 
-var cases = map[string]func(b *bench) int{"quota": quota, "cold": cold, "crowd": crowd, "drain": drain}
+var cases = map[string]func(b *bench) int{"quota": quota, "cold": cold, "crowd": crowd, "drain": drain, "lapse": lapse}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -27,9 +27,10 @@
 	name, zone, region             string
 	front, readiness, control, dir string
 	port                           int // the first internal port
-	folder, binary, storeAddr      string
+	folder, binary                 string
 	mu                             sync.Mutex
 	cmd                            *exec.Cmd
+	door                           *door // the store as this node reaches it
 	done                           chan struct{}
 	zones                          map[string]string
 	extra                          string // further bounds
@@ -138,7 +139,7 @@
 historyS = 20
 valueBytes = 1048576
 minTtlMs = 1000
-`, n.name, n.zone, n.region, n.port, n.port+1, bootstrap, n.contracts, zones.String(), n.front, n.readiness, n.control, n.dir, n.extra, n.storeAddr)
+`, n.name, n.zone, n.region, n.port, n.port+1, bootstrap, n.contracts, zones.String(), n.front, n.readiness, n.control, n.dir, n.extra, n.door.addr)
 	path := filepath.Join(n.folder, n.name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		panic(err)
--- a/review/standins-2/regions.go
+++ b/review/standins-2/regions.go
@@ -35,7 +35,7 @@
 				addrs[other.peerAddr()] = p.addr
 			}
 		}
-		n.storeAddr = b.store.serve(replaceAddrs(addrs))
+		n.door = b.store.serve(replaceAddrs(addrs))
 	}
 	for _, n := range d.nodes {
 		n.start(true)
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,6 +30,8 @@
 	stamps                  atomic.Int64
 	mu                      sync.Mutex
 	runs                    []run
+	coldSince               time.Time
+	crashed                 atomic.Bool
 	// answer replaces the ordinary answer of a run unless it is nil.
 	answer func(w http.ResponseWriter, r *http.Request, n int) bool
 }
@@ -40,7 +43,7 @@
 		panic(err)
 	}
 	s.addr = l.Addr().String()
-	go func() { _ = http.Serve(l, s) }()
+	go func() { _ = (&http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}).Serve(l) }()
 	s.born = time.Now()
 	s.announce(st, 0)
 }
@@ -53,8 +56,33 @@
 	})
 }
 
+// coldRuns returns the number of runs that began within the last time and since the server is
+// cold.
+func (s *server) coldRuns(d time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, from := 0, time.Now().Add(-d)
+	for i := len(s.runs) - 1; i >= 0 && s.runs[i].at.After(from) && s.runs[i].at.After(s.coldSince); i-- {
+		n++
+	}
+	return n
+}
+
+// setCold makes the server cold from now on, or warm.
+func (s *server) setCold(cold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldSince = time.Now()
+	if !cold {
+		s.coldSince = s.coldSince.Add(time.Hour)
+	}
+}
+
 // ServeHTTP serves one request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.crashed.Load() {
+		panic(http.ErrAbortHandler) // ends the connection
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.id)
 		return
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -96,32 +96,90 @@
 	s.changed = make(chan struct{})
 }
 
-// serve serves the store on an address. translate changes the bodies of the answers, as an
-// address translation between a node and the others does; nil changes nothing.
-func (s *store) serve(translate func([]byte) []byte) string {
+// door is the store as one node reaches it.
+type door struct {
+	addr      string
+	translate func([]byte) []byte // changes the bodies of answers, as an address translation does; nil for no change
+	mu        sync.Mutex
+	waiting   int           // the watches that wait now
+	rejected  chan struct{} // closed while the store turns the node away
+}
+
+// reject makes the store turn the node away, or ends that. Watches that wait are cut off.
+func (d *door) reject(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if on {
+		close(d.rejected)
+	} else {
+		d.rejected = make(chan struct{})
+	}
+}
+
+// watches returns the number of watches of the node that wait, which only nodes that follow the store for others have.
+func (d *door) watches() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting
+}
+
+// turnedAway returns a channel that is closed while the store turns the node away.
+func (d *door) turnedAway() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rejected
+}
+
+// wait counts a watch while it waits.
+func (d *door) wait(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting += n
+}
+
+// serve serves the store to one node.
+func (s *store) serve(translate func([]byte) []byte) *door {
+	d := &door{translate: translate, rejected: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			status, body := s.handle(r)
+			status, body := s.handle(d, r)
+			if isClosed(d.turnedAway()) {
+				status, body = http.StatusServiceUnavailable, map[string]string{"error": "busy"}
+			}
 			data, err := json.Marshal(body)
 			if err != nil {
 				panic(err)
 			}
-			if translate != nil {
-				data = translate(data)
+			if d.translate != nil {
+				data = d.translate(data)
 			}
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(status)
 			_, _ = w.Write(data)
 		}))
 	}()
-	return l.Addr().String()
+	d.addr = l.Addr().String()
+	return d
 }
 
-func (s *store) handle(r *http.Request) (int, any) {
+// isClosed reports whether a channel is closed.
+func isClosed(ch chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *store) handle(d *door, r *http.Request) (int, any) {
+	if isClosed(d.turnedAway()) {
+		return 0, nil
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind := parts[0]
 	var in object
@@ -132,7 +190,7 @@
 	}
 	if r.Method == http.MethodGet && len(parts) == 1 {
 		if after := r.URL.Query().Get("watch"); after != "" {
-			return http.StatusOK, s.watch(r, kind, after)
+			return http.StatusOK, s.watch(d, r, kind, after)
 		}
 		return http.StatusOK, s.list(kind, r.URL.Query().Get("after"))
 	}
@@ -173,10 +231,14 @@
 	return map[string]any{"items": items, "hasMore": false, "storeRevision": s.revision}
 }
 
-func (s *store) watch(r *http.Request, kind, after string) any {
+func (s *store) watch(d *door, r *http.Request, kind, after string) any {
 	from, _ := strconv.ParseUint(after, 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	if wait > 0 {
+		d.wait(1)
+		defer d.wait(-1)
+	}
 	for {
 		s.mu.Lock()
 		events := []change{}
@@ -194,6 +256,8 @@
 		case <-changed:
 		case <-timeout:
 			return map[string]any{"events": events, "storeRevision": revision}
+		case <-d.turnedAway():
+			return map[string]any{"events": events, "storeRevision": revision}
 		case <-r.Context().Done():
 			return map[string]any{"events": events, "storeRevision": revision}
 		}
