--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -40,7 +40,7 @@
 
 // nextPort is the first port that may be given to the next node. The ports are below those that
 // systems give to listeners and connections that ask for any.
-var nextPort = 15000 + os.Getpid()%1500*10
+var nextPort = 15000 + os.Getpid()%300*50
 
 // freePorts returns the first of n consecutive free ports.
 func freePorts(n int) int {
