--- a/review/standins-2/cold.go
+++ b/review/standins-2/cold.go
@@ -26,7 +26,7 @@
 	var servers []*server
 	for i := range 2 {
 		s := &server{id: fmt.Sprintf("i-%d", i), service: "lookup", zone: []string{"north-a", "south-a"}[i%2], slots: 64}
-		s.answer = func(w http.ResponseWriter, _ *http.Request, n int) bool {
+		s.answer = func(_ http.ResponseWriter, _ *http.Request, _ int) bool {
 			if s.coldRuns(time.Second) > crashPerS {
 				s.crashed.Store(true)
 			}
--- a/review/standins-2/crowd.go
+++ b/review/standins-2/crowd.go
@@ -47,7 +47,7 @@
 		for j := range 3 {
 			s := &server{id: fmt.Sprintf("i-%d-%d", i, j), service: service, zone: "north-a", slots: serverSlots, queue: serverQueue}
 			free := make(chan struct{}, serverSlots)
-			s.answer = func(w http.ResponseWriter, r *http.Request, n int) bool {
+			s.answer = func(w http.ResponseWriter, r *http.Request, _ int) bool {
 				free <- struct{}{}
 				time.Sleep(workTime)
 				<-free
--- a/review/standins-2/drain.go
+++ b/review/standins-2/drain.go
@@ -13,7 +13,7 @@
 	drainShards   = 10
 	drainedShards = 3 // of the 20 servers 0.15
 	heartbeat     = 1200 * time.Millisecond
-	drainMs       = 3 * time.Second
+	drainTime     = 3 * time.Second
 	silentFor     = 5 * time.Second // for which these servers do not reach the store
 	servesFor     = 9 * time.Second // after it has reported that it drains
 	workSpread    = 0.35
@@ -31,7 +31,7 @@
 		for j := range 2 {
 			s := &server{id: fmt.Sprintf("i-%d-%d", i, j), service: service, zone: "north-a", slots: 4, queue: 24}
 			free := make(chan struct{}, s.slots)
-			s.answer = func(w http.ResponseWriter, r *http.Request, n int) bool {
+			s.answer = func(w http.ResponseWriter, r *http.Request, _ int) bool {
 				free <- struct{}{}
 				time.Sleep(time.Duration(float64(20*time.Millisecond) * math.Exp(workSpread*rand.NormFloat64())))
 				<-free
@@ -85,7 +85,7 @@
 	for _, s := range leaving {
 		for _, r := range s.runs {
 			b.record.add("%s sent at %.3f, reached %s at %.3f, answered %d", r.id, b.seconds(c.sent[r.id].at), s.id, b.seconds(r.at), c.sent[r.id].status)
-			if r.at.After(drained.Add(drainMs)) {
+			if r.at.After(drained.Add(drainTime)) {
 				late++
 			}
 		}
@@ -95,7 +95,7 @@
 		answers[s.status]++
 	}
 	b.record.say("answers, 0 for none: %v", answers)
-	b.record.say("%d requests reached the draining servers later than %s after the report; the rule allows none", late, drainMs)
+	b.record.say("%d requests reached the draining servers later than %s after the report; the rule allows none", late, drainTime)
 	if late > 0 {
 		return exitBroken
 	}
--- a/review/standins-2/lapse.go
+++ b/review/standins-2/lapse.go
@@ -19,7 +19,7 @@
 	for i := range 4 {
 		s := &server{id: fmt.Sprintf("i-%d", i), service: []string{"desk", "book"}[i/2], zone: "north-a", slots: 4, queue: 24}
 		free := make(chan struct{}, s.slots)
-		s.answer = func(w http.ResponseWriter, r *http.Request, n int) bool {
+		s.answer = func(w http.ResponseWriter, r *http.Request, _ int) bool {
 			free <- struct{}{}
 			time.Sleep(time.Duration(float64(8*time.Millisecond) * math.Exp(workSpread*rand.NormFloat64())))
 			<-free
@@ -78,7 +78,7 @@
 		from, _, _ := strings.Cut(r.id, "-find")
 		after := r.at.Sub(removed)
 		b.record.add("%s sent at %.3f to %s, turned away %t, reached the server %.3f s after the removal, answered %d", r.id, b.seconds(c.sent[r.id].at), from, away[from], after.Seconds(), c.sent[r.id].status)
-		if after > drainMs && !away[from] {
+		if after > drainTime && !away[from] {
 			late++
 		}
 	}
@@ -87,7 +87,7 @@
 		answers[s.status]++
 	}
 	b.record.say("answers, 0 for none: %v", answers)
-	b.record.say("%d requests from nodes that were not turned away reached the server later than %s after the removal; the rule allows none", late, drainMs)
+	b.record.say("%d requests from nodes that were not turned away reached the server later than %s after the removal; the rule allows none", late, drainTime)
 	if late > 0 {
 		return exitBroken
 	}
