--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -35,7 +35,6 @@
 	zones                          map[string]string
 	extra                          string // further bounds
 	contracts                      string
-	logFile                        *os.File
 }
 
 // nextPort is the first port that may be given to the next node. The ports are below those that
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// watches returns the number of watches of the node that wait, which only nodes that follow the store for others have.
+// watches returns the number of watches of the node that wait. Only nodes that follow the store
+// for others have any.
 func (d *door) watches() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -147,9 +148,6 @@
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			status, body := s.handle(d, r)
-			if isClosed(d.turnedAway()) {
-				status, body = http.StatusServiceUnavailable, map[string]string{"error": "busy"}
-			}
 			data, err := json.Marshal(body)
 			if err != nil {
 				panic(err)
@@ -176,9 +174,12 @@
 	}
 }
 
+// turnedAwayBody is the body of the answer to a node that the store turns away.
+var turnedAwayBody = map[string]string{"error": "busy"}
+
 func (s *store) handle(d *door, r *http.Request) (int, any) {
 	if isClosed(d.turnedAway()) {
-		return 0, nil
+		return http.StatusServiceUnavailable, turnedAwayBody
 	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind := parts[0]
@@ -190,7 +191,7 @@
 	}
 	if r.Method == http.MethodGet && len(parts) == 1 {
 		if after := r.URL.Query().Get("watch"); after != "" {
-			return http.StatusOK, s.watch(d, r, kind, after)
+			return s.watch(d, r, kind, after)
 		}
 		return http.StatusOK, s.list(kind, r.URL.Query().Get("after"))
 	}
@@ -231,7 +232,7 @@
 	return map[string]any{"items": items, "hasMore": false, "storeRevision": s.revision}
 }
 
-func (s *store) watch(d *door, r *http.Request, kind, after string) any {
+func (s *store) watch(d *door, r *http.Request, kind, after string) (int, any) {
 	from, _ := strconv.ParseUint(after, 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
@@ -250,16 +251,16 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			return map[string]any{"events": events, "storeRevision": revision}
+			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return map[string]any{"events": events, "storeRevision": revision}
+			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}
 		case <-d.turnedAway():
-			return map[string]any{"events": events, "storeRevision": revision}
+			return http.StatusServiceUnavailable, turnedAwayBody
 		case <-r.Context().Done():
-			return map[string]any{"events": events, "storeRevision": revision}
+			return http.StatusOK, map[string]any{"events": events, "storeRevision": revision}
 		}
 	}
 }
