Read, log and tell the limits that servers name for all nodes

Cause: nodes did not read Server-Limit, and nothing in logs or metrics could tell whether a node knew of a limit, so that a limit that nobody knows looked like one that all nodes exceed together. Nothing decides by them yet. Tests: the values of the header, the pacing, and that one node's news reaches 30 nodes and one that starts later.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -556,6 +556,24 @@
 // SetPause sets how long the server wants no requests from this node; 0 if it did not say so.
 func (v *AttemptResult) SetPause(x time.Duration) { v.pause = x }
 
+// LimitStated returns whether the response tells which limit the server has, or that it has none.
+func (v AttemptResult) LimitStated() bool { return v.limitStated }
+
+// SetLimitStated sets whether the response tells which limit the server has, or that it has none.
+func (v *AttemptResult) SetLimitStated(x bool) { v.limitStated = x }
+
+// Limited returns whether the server limits the requests of all nodes together.
+func (v AttemptResult) Limited() bool { return v.limited }
+
+// SetLimited sets whether the server limits the requests of all nodes together.
+func (v *AttemptResult) SetLimited(x bool) { v.limited = x }
+
+// Limit returns that limit, in requests per second.
+func (v AttemptResult) Limit() float64 { return v.limit }
+
+// SetLimit sets that limit, in requests per second.
+func (v *AttemptResult) SetLimit(x float64) { v.limit = x }
+
 // Unsolicited returns what the server sent that belongs to no attempt in progress, for logs; empty for nothing.
 func (v AttemptResult) Unsolicited() string { return v.unsolicited }
 
@@ -1168,6 +1186,48 @@
 // SetRolloutGrants sets the recipient's permissions in the open roll-outs, from the decider.
 func (v *Heartbeat) SetRolloutGrants(x []RolloutGrant) { v.rolloutGrants = x }
 
+// Limits returns the limits of servers that changed lately, and from a hub to a node that has just started, all limits.
+func (v Heartbeat) Limits() []ServerLimit { return v.limits }
+
+// SetLimits sets the limits of servers that changed lately, and from a hub to a node that has just started, all limits.
+func (v *Heartbeat) SetLimits(x []ServerLimit) { v.limits = x }
+
+// Server returns the server ID.
+func (v ServerLimit) Server() string { return v.server }
+
+// SetServer sets the server ID.
+func (v *ServerLimit) SetServer(x string) { v.server = x }
+
+// StartedMilli returns the start time of the server's run, in Unix milliseconds.
+func (v ServerLimit) StartedMilli() int64 { return v.startedMilli }
+
+// SetStartedMilli sets the start time of the server's run, in Unix milliseconds.
+func (v *ServerLimit) SetStartedMilli(x int64) { v.startedMilli = x }
+
+// Limited returns whether the server has a limit.
+func (v ServerLimit) Limited() bool { return v.limited }
+
+// SetLimited sets whether the server has a limit.
+func (v *ServerLimit) SetLimited(x bool) { v.limited = x }
+
+// PerSecond returns the limit, in requests per second.
+func (v ServerLimit) PerSecond() float64 { return v.perSecond }
+
+// SetPerSecond sets the limit, in requests per second.
+func (v *ServerLimit) SetPerSecond(x float64) { v.perSecond = x }
+
+// Age returns the time since the server said so.
+func (v ServerLimit) Age() time.Duration { return v.age }
+
+// SetAge sets the time since the server said so.
+func (v *ServerLimit) SetAge(x time.Duration) { v.age = x }
+
+// Limits returns the limits that changed.
+func (v LimitReport) Limits() []ServerLimit { return v.limits }
+
+// SetLimits sets the limits that changed.
+func (v *LimitReport) SetLimits(x []ServerLimit) { v.limits = x }
+
 // Route returns the route name.
 func (v RolloutCounts) Route() string { return v.route }
 
--- a/direct.go
+++ b/direct.go
@@ -145,6 +145,9 @@
 	leaving       bool          // whether a server said in its response that it is leaving
 	leavingServer string        // the ID of that server, if it is not the one that the attempt was for
 	pause         time.Duration // how long the server wants no requests from this node; 0 if it did not say so
+	limitStated   bool          // whether the response tells which limit the server has, or that it has none
+	limited       bool          // whether the server limits the requests of all nodes together
+	limit         float64       // that limit, in requests per second
 	unsolicited   string        // what the server sent that belongs to no attempt in progress, for logs; empty for nothing
 	ignoredHint   string        // what a header said that is ignored because it is invalid, for logs; empty for none
 	withheld      bool          // whether the node itself withheld the attempt right before the send, for StatusNotSent
--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -20,6 +20,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/grants"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/spread"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
@@ -316,6 +317,7 @@
 		heartbeat.SetAssignedShare(row.AssignedShare())
 	}
 	heartbeat.SetRolloutGrants(grants.For(s, row.Member().Name(), now))
+	heartbeat.SetLimits(spread.For(s, row, now))
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/ctrl.go
+++ b/internal/direct/ctrl/ctrl.go
@@ -16,6 +16,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/pull"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/push"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/rollo"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/spread"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
@@ -25,6 +26,7 @@
 		ingest.System{},
 		push.System{},
 		rollo.System{},
+		spread.System{}, // before the heartbeats, which carry what has changed
 		beats.System{},
 		grant.System{},
 		pull.System{},
--- /dev/null
+++ b/internal/direct/ctrl/spread/spread.go
@@ -0,0 +1,77 @@
+// Package spread tells nodes of the limits that servers named for all nodes together.
+//
+// # Usage
+//
+//	systems = append(systems, spread.System{})
+//	heartbeat.SetLimits(spread.For(s, peer, now))
+//
+// A node tells the hubs of the changes that its own responses showed, and the hubs tell all nodes,
+// in the heartbeats that they send anyway. A message that is lost does no harm, because each node
+// learns of a limit from its own responses as well. The state is in memory, and a hub that has
+// just started learns it anew.
+package spread
+
+import (
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/limits"
+	"github.com/lagoontrail/lagoon/internal/direct/peers"
+	"github.com/lagoontrail/lagoon/internal/direct/state"
+)
+
+const (
+	// tellTime is how long after a change heartbeats carry it. It spans three of them, of which
+	// two may be lost.
+	tellTime = 1500 * time.Millisecond
+	// startTime is how long after a node became known hubs tell it all limits.
+	startTime = 3 * time.Second
+	// maxTold is the number of limits that a heartbeat carries at most, so that its size is bounded.
+	maxTold = 256
+)
+
+// System merges what traffic and other nodes report.
+type System struct{}
+
+// Name returns the system's name.
+func (System) Name() string { return "spread" }
+
+// Run merges the reports of this tick, and passes on to traffic what other nodes reported.
+func (System) Run(s *state.State, now time.Duration) {
+	for _, report := range s.LimitReports() {
+		for _, statement := range report.Limits() {
+			limits.Merge(s.Limits(), statement, now-statement.Age(), now)
+		}
+	}
+	news := &lagoon.LimitReport{}
+	for _, m := range s.Heartbeats() {
+		for _, statement := range m.Limits() {
+			if _, changed := limits.Merge(s.Limits(), statement, now-statement.Age(), now); changed {
+				news.SetLimits(append(news.Limits(), statement))
+			}
+		}
+	}
+	if len(news.Limits()) > 0 && s.DeliverLimits() != nil {
+		s.DeliverLimits()(news) // traffic learns of them from its own responses if its mailbox is full
+	}
+}
+
+// For returns the limits that the heartbeat to another node carries.
+func For(s *state.State, row *peers.Row, now time.Duration) []lagoon.ServerLimit {
+	all := s.Hub() && now-row.KnownAt() < startTime
+	var out []lagoon.ServerLimit
+	for i := range s.Limits().Len() {
+		l := s.Limits().At(i)
+		if len(out) == maxTold || (now-l.ChangedAt() >= tellTime && !(all && l.Limited())) {
+			continue
+		}
+		var statement lagoon.ServerLimit
+		statement.SetServer(s.Limits().Key(i))
+		statement.SetStartedMilli(l.StartedMilli())
+		statement.SetLimited(l.Limited())
+		statement.SetPerSecond(l.PerSecond())
+		statement.SetAge(now - l.StatedAt())
+		out = append(out, statement)
+	}
+	return out
+}
--- a/internal/direct/loop/accessors_gen.go
+++ b/internal/direct/loop/accessors_gen.go
@@ -143,6 +143,18 @@
 // SetShortOfTokens sets the organisations that may need quota tokens.
 func (v *Loop) SetShortOfTokens(x []string) { v.shortOfTokens = x }
 
+// LimitNews returns what other nodes said of the limits of servers, received in this tick.
+func (v *Loop) LimitNews() []*lagoon.LimitReport { return v.limitNews }
+
+// SetLimitNews sets what other nodes said of the limits of servers, received in this tick.
+func (v *Loop) SetLimitNews(x []*lagoon.LimitReport) { v.limitNews = x }
+
+// TellControl returns the function that passes a report on the limits of servers to control; nil tells nobody.
+func (v *Loop) TellControl() func(m any) bool { return v.tellControl }
+
+// SetTellControl sets the function that passes a report on the limits of servers to control; nil tells nobody.
+func (v *Loop) SetTellControl(x func(m any) bool) { v.tellControl = x }
+
 // CostModel returns the model of the work of requests; nil turns it off.
 func (v *Loop) CostModel() lagoon.CostModel { return v.costModel }
 
--- a/internal/direct/loop/loop.go
+++ b/internal/direct/loop/loop.go
@@ -28,6 +28,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/health"
 	"github.com/lagoontrail/lagoon/internal/direct/leaves"
 	"github.com/lagoontrail/lagoon/internal/direct/levels"
+	"github.com/lagoontrail/lagoon/internal/direct/limits"
 	"github.com/lagoontrail/lagoon/internal/direct/loads"
 	"github.com/lagoontrail/lagoon/internal/direct/pauses"
 	"github.com/lagoontrail/lagoon/internal/direct/ratios"
@@ -76,6 +77,8 @@
 	tokenRecheck  time.Duration                                              // the time of the timer that asks for quota tokens next; 0 or past for none
 	quotaGrants   []*lagoon.QuotaGrant                                       // the grants of quota tokens received in this tick
 	shortOfTokens []string                                                   // the organisations that may need quota tokens
+	limitNews     []*lagoon.LimitReport                                      // what other nodes said of the limits of servers, received in this tick
+	tellControl   func(m any) bool                                           // the function that passes a report on the limits of servers to control; nil tells nobody
 	costModel     lagoon.CostModel                                           // the model of the work of requests; nil turns it off
 	tally         *tally.Tally                                               // the responses by version in the open roll-outs; nil if the deployment has none
 	splitView     *view.View                                                 // the view whose roll-outs are counted
@@ -99,6 +102,7 @@
 	pauses     rows.Table[pauses.Row]
 	routeStats rows.Table[stats.Row]
 	budgets    rows.Table[tokens.Row]
+	limits     rows.Table[limits.Row]
 	usage      rows.Table[usage.Row]
 	flows      rows.Table[flows.Row]
 	trips      rows.Table[trips.Row]
@@ -163,6 +167,9 @@
 // Pauses returns the table of pauses that servers asked for in their responses.
 func (l *Loop) Pauses() *rows.Table[pauses.Row] { return &l.pauses }
 
+// Limits returns the table of limits that servers named for all nodes together.
+func (l *Loop) Limits() *rows.Table[limits.Row] { return &l.limits }
+
 // RouteStats returns the table of route latency statistics.
 func (l *Loop) RouteStats() *rows.Table[stats.Row] { return &l.routeStats }
 
@@ -262,7 +269,7 @@
 	}
 	l.arrived, l.disconnected, l.completed = l.arrived[:0], l.disconnected[:0], l.completed[:0]
 	l.changed, l.decided = l.changed[:0], l.decided[:0]
-	l.quotaGrants = l.quotaGrants[:0]
+	l.quotaGrants, l.limitNews = l.quotaGrants[:0], l.limitNews[:0]
 	for i := range l.dueRows {
 		l.dueRows[i] = l.dueRows[i][:0]
 	}
@@ -289,6 +296,8 @@
 		}
 	case *lagoon.QuotaGrant:
 		l.quotaGrants = append(l.quotaGrants, m)
+	case *lagoon.LimitReport:
+		l.limitNews = append(l.limitNews, m)
 	}
 }
 
--- a/internal/direct/node/node.go
+++ b/internal/direct/node/node.go
@@ -162,6 +162,7 @@
 	n.control.SetRegistryReachable(true)
 	n.control.SetQuotaBounds(n.quotaBounds)
 	n.control.SetDeliverGrant(n.trafficMailbox.TryPost)
+	n.control.SetDeliverLimits(n.trafficMailbox.TryPost)
 	if n.registryWriter != nil {
 		n.control.EnableRollouts()
 		n.control.SetRegistryWriter(n.registryWriter)
@@ -191,6 +192,7 @@
 	n.traffic.SetExtraWindow(n.extraWindow)
 	n.traffic.SetDrainTime(n.drainTime)
 	n.traffic.SetAskTokens(n.controlMailbox.TryPost)
+	n.traffic.SetTellControl(n.controlMailbox.TryPost)
 	n.traffic.SetSystems(trfc.Systems())
 }
 
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -296,6 +296,18 @@
 // SetQuotaBounds sets the bounds on the quotas of organisations.
 func (v *State) SetQuotaBounds(x lagoon.QuotaBounds) { v.quotaBounds = x }
 
+// LimitReports returns what this node's traffic learned of the limits of servers, received in this tick.
+func (v *State) LimitReports() []*lagoon.LimitReport { return v.limitReports }
+
+// SetLimitReports sets what this node's traffic learned of the limits of servers, received in this tick.
+func (v *State) SetLimitReports(x []*lagoon.LimitReport) { v.limitReports = x }
+
+// DeliverLimits returns the function that passes the limits of servers to this node's traffic; nil if nobody needs them.
+func (v *State) DeliverLimits() func(m any) bool { return v.deliverLimits }
+
+// SetDeliverLimits sets the function that passes the limits of servers to this node's traffic; nil if nobody needs them.
+func (v *State) SetDeliverLimits(x func(m any) bool) { v.deliverLimits = x }
+
 // HeartbeatsDue returns whether heartbeats are to be sent in this tick, in addition to the regular ones.
 func (v *State) HeartbeatsDue() bool { return v.heartbeatsDue }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -23,6 +23,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/bucket"
 	"github.com/lagoontrail/lagoon/internal/direct/fetch"
 	"github.com/lagoontrail/lagoon/internal/direct/ledger"
+	"github.com/lagoontrail/lagoon/internal/direct/limits"
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/roster"
@@ -89,6 +90,8 @@
 	quotaGrants       []*lagoon.QuotaGrant                                                                    // the grants of quota tokens received in this tick
 	deliverGrant      func(m any) bool                                                                        // the function that passes a grant of quota tokens to this node's traffic; nil if nobody needs it
 	quotaBounds       lagoon.QuotaBounds                                                                      // the bounds on the quotas of organisations
+	limitReports      []*lagoon.LimitReport                                                                   // what this node's traffic learned of the limits of servers, received in this tick
+	deliverLimits     func(m any) bool                                                                        // the function that passes the limits of servers to this node's traffic; nil if nobody needs them
 	heartbeatsDue     bool                                                                                    // whether heartbeats are to be sent in this tick, in addition to the regular ones
 	exposureShare     float64                                                                                 // the share of a service's requests that an unproven version may get
 	rollbackTime      time.Duration                                                                           // after the 50th bad response of a version within which requests to it must end
@@ -104,6 +107,7 @@
 	roster  roster.Roster
 	ledger  ledger.Row
 	buckets rows.Table[bucket.Row]
+	limits  rows.Table[limits.Row]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -190,6 +194,9 @@
 // of the organisation.
 func (s *State) Buckets() *rows.Table[bucket.Row] { return &s.buckets }
 
+// Limits returns the table of limits that servers named for all nodes together.
+func (s *State) Limits() *rows.Table[limits.Row] { return &s.limits }
+
 // Run runs ticks until ctx is done.
 func (s *State) Run(ctx context.Context) error {
 	var items []any
@@ -215,6 +222,8 @@
 			s.quotaRequests = append(s.quotaRequests, m)
 		case *lagoon.QuotaGrant:
 			s.quotaGrants = append(s.quotaGrants, m)
+		case *lagoon.LimitReport:
+			s.limitReports = append(s.limitReports, m)
 		case func(*State):
 			m(s)
 		}
@@ -227,7 +236,7 @@
 		s.tickedAt.Store(int64(now))
 	}
 	s.results, s.pushes, s.updates, s.heartbeats = nil, nil, nil, nil
-	s.quotaRequests, s.quotaGrants = nil, nil
+	s.quotaRequests, s.quotaGrants, s.limitReports = nil, nil, nil
 }
 
 // Record writes a decision to the journal.
--- a/internal/direct/trfc/trfc.go
+++ b/internal/direct/trfc/trfc.go
@@ -13,6 +13,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/finish"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/hedge"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/leave"
+	"github.com/lagoontrail/lagoon/internal/direct/trfc/limit"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/pause"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/quota"
 	"github.com/lagoontrail/lagoon/internal/direct/trfc/reply"
@@ -29,6 +30,7 @@
 	return []lagoon.System[*loop.Loop]{
 		leave.System{},
 		pause.System{},
+		limit.System{},
 		versn.System{},
 		report.System{},
 		result.System{},
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -667,6 +667,7 @@
 	AssignedShare    float64             `cbor:"25,keyasint,omitempty" json:"assigned_share,omitempty"`
 	RolloutReports   []rolloutReportForm `cbor:"26,keyasint,omitempty" json:"reports,omitempty"`
 	RolloutGrants    []rolloutGrantForm  `cbor:"27,keyasint,omitempty" json:"grants,omitempty"`
+	Limits           []serverLimitForm   `cbor:"28,keyasint,omitempty" json:"limits,omitempty"`
 }
 
 func toHeartbeat(v lagoon.Heartbeat) heartbeatForm {
@@ -698,6 +699,7 @@
 		AssignedShare:    v.AssignedShare(),
 		RolloutReports:   each(v.RolloutReports(), toRolloutReport),
 		RolloutGrants:    each(v.RolloutGrants(), toRolloutGrant),
+		Limits:           each(v.Limits(), toServerLimit),
 	}
 }
 
@@ -730,6 +732,53 @@
 	v.SetAssignedShare(m.AssignedShare)
 	v.SetRolloutReports(each(m.RolloutReports, fromRolloutReport))
 	v.SetRolloutGrants(each(m.RolloutGrants, fromRolloutGrant))
+	v.SetLimits(each(m.Limits, fromServerLimit))
+	return v
+}
+
+// serverLimitForm is the wire form of lagoon.ServerLimit.
+type serverLimitForm struct {
+	Server       string        `cbor:"1,keyasint,omitempty" json:"server,omitempty"`
+	StartedMilli int64         `cbor:"2,keyasint,omitempty" json:"started,omitempty"`
+	Limited      bool          `cbor:"3,keyasint,omitempty" json:"limited,omitempty"`
+	PerSecond    float64       `cbor:"4,keyasint,omitempty" json:"rate,omitempty"`
+	Age          time.Duration `cbor:"5,keyasint,omitempty" json:"age,omitempty"`
+}
+
+func toServerLimit(v lagoon.ServerLimit) serverLimitForm {
+	return serverLimitForm{
+		Server:       v.Server(),
+		StartedMilli: v.StartedMilli(),
+		Limited:      v.Limited(),
+		PerSecond:    v.PerSecond(),
+		Age:          v.Age(),
+	}
+}
+
+func fromServerLimit(m serverLimitForm) lagoon.ServerLimit {
+	var v lagoon.ServerLimit
+	v.SetServer(m.Server)
+	v.SetStartedMilli(m.StartedMilli)
+	v.SetLimited(m.Limited)
+	v.SetPerSecond(m.PerSecond)
+	v.SetAge(m.Age)
+	return v
+}
+
+// limitReportForm is the wire form of lagoon.LimitReport.
+type limitReportForm struct {
+	Limits []serverLimitForm `cbor:"1,keyasint,omitempty" json:"limits,omitempty"`
+}
+
+func toLimitReport(v lagoon.LimitReport) limitReportForm {
+	return limitReportForm{
+		Limits: each(v.Limits(), toServerLimit),
+	}
+}
+
+func fromLimitReport(m limitReportForm) lagoon.LimitReport {
+	var v lagoon.LimitReport
+	v.SetLimits(each(m.Limits, fromServerLimit))
 	return v
 }
 
--- a/messages.go
+++ b/messages.go
@@ -49,6 +49,21 @@
 
 	rolloutReports []RolloutReport // what the sender saw of both versions in the open roll-outs; json:"reports"
 	rolloutGrants  []RolloutGrant  // the recipient's permissions in the open roll-outs, from the decider; json:"grants"
+	limits         []ServerLimit   // the limits of servers that changed lately, and from a hub to a node that has just started, all limits
+}
+
+// ServerLimit is what a server said of the requests that it takes from all nodes together.
+type ServerLimit struct {
+	server       string        // the server ID
+	startedMilli int64         // the start time of the server's run, in Unix milliseconds; json:"started"
+	limited      bool          // whether the server has a limit
+	perSecond    float64       // the limit, in requests per second; json:"rate"
+	age          time.Duration // the time since the server said so
+}
+
+// LimitReport carries limits between the traffic and the control of one node.
+type LimitReport struct {
+	limits []ServerLimit // the limits that changed
 }
 
 // RolloutCounts counts the responses of one route and service in a roll-out since the sender
