Order the store's revisions over its returns from a copy

Cause: revisions go back and are given out again, and all that trusts them took what the store has as older than what the node had. The class is an order that holds only within one life of the store. Change: the client joins each revision with the store's era (pkg/epoch), so that any revision of a later era is greater. A watch after one of an earlier era fails as one without history, without a call if the era is known, a write under such a condition is a conflict, and a response of an earlier era is a late one. Catalogs of different eras are ordered by their version, so that none goes back. A hub that does not know of the new era confirms nothing, and forwards empty lists as well. The stand-in of the store can go on from a copy; the log gives eras, registry_restored and catalog_older. Evidence: the client of before lists revision 3 after 7, misses writes at revisions given out again, and lets a condition of before hold (three tests in platform/store); with revisions joined but catalogs still ordered by them, all nodes of the test go back to the version of the copy (TestChangesAfterRestoreAreInForce). With the change these tests pass.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -24,6 +24,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
+	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
 
 // Heartbeat intervals and timeouts.
@@ -195,6 +196,7 @@
 		case !ok || !row.Synced():
 		case row.Revision() < remote.Changed():
 			markGap(row, remote.Changed(), now)
+		case epoch.Of(remote.Revision()) < epoch.Of(row.Revision()): // the hub does not know yet that the registry was restored
 		case !row.Gap():
 			row.SetRevision(max(row.Revision(), remote.Revision()))
 			row.SetConfirmedAt(max(row.ConfirmedAt(), now-remote.Age()))
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -1,6 +1,7 @@
 package ctrl_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	now               time.Duration
 	nodes             []*node
 	catalogVersion    uint64
+	catalogRevision   uint64 // the revision at which the catalog was written, if that is not its version
 	revision          uint64
 	compactedRevision uint64 // the registry no longer holds the changes up to this revision
 	servers           map[string]lagoon.Replica
@@ -232,10 +234,10 @@
 	update.SetRevision(f.revision)
 	switch topic {
 	case lagoon.TopicCatalog:
-		if f.catalogVersion > 0 && f.catalogVersion > after {
+		if revision := cmp.Or(f.catalogRevision, f.catalogVersion); f.catalogVersion > 0 && revision > after {
 			catalog := f.declared
 			catalog.SetVersion(f.catalogVersion)
-			catalog.SetRevision(f.catalogVersion)
+			catalog.SetRevision(revision)
 			update.SetCatalog(catalog)
 		}
 	case lagoon.TopicReplicas:
@@ -344,7 +346,7 @@
 // changeCatalog writes a new catalog.
 func (f *fleet) changeCatalog() {
 	f.revision++
-	f.catalogVersion = f.revision
+	f.catalogVersion, f.catalogRevision = f.revision, f.revision
 }
 
 // takeZoneOut takes an availability zone out of service.
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -23,6 +23,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/server"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/internal/direct/topics"
+	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
 
 // Delays after failed registry calls. Package pull also paces its calls to an
@@ -71,7 +72,7 @@
 	if errors.Is(err, lagoon.ErrCompacted) {
 		row.SetSynced(false)
 		row.SetGap(true)
-		s.Record("history_gone", row.Topic().String(), fmt.Sprintf("the changes after revision %d are no longer available; reading the whole topic again", row.Revision()))
+		s.Record("history_gone", row.Topic().String(), fmt.Sprintf("the changes after %s are no longer available; reading the whole topic again", epoch.Text(row.Revision())))
 		return
 	}
 	row.SetFailures(row.Failures() + 1)
@@ -90,6 +91,7 @@
 
 // handleUpdate applies a response of the registry.
 func handleUpdate(s *state.State, row *topics.Row, update lagoon.RegistryUpdate, now time.Duration) {
+	noteEra(s, row.Topic().String(), update.Revision(), now)
 	row.SetFailures(0)
 	row.SetRetryAt(0)
 	since := row.ConfirmedAt()
@@ -101,7 +103,7 @@
 		s.SetRegistryReachable(true)
 		s.SetViewStale(true)
 		endBackoff(s)
-		s.Record("registry_regained", row.Topic().String(), fmt.Sprintf("the registry answers again, at revision %d", update.Revision()))
+		s.Record("registry_regained", row.Topic().String(), fmt.Sprintf("the registry answers again, at %s", epoch.Text(update.Revision())))
 	}
 	if update.Revision() < row.Revision() {
 		return // a hub has pushed a newer state in the meantime
@@ -114,7 +116,7 @@
 		apply(s, update, since, now)
 		row.SetLastChange(update.Revision())
 	}
-	if !Empty(update) && row.Revision() > 0 { // the first read of a topic is not forwarded, as each node starts with its own
+	if (update.Full() || !Empty(update)) && row.Revision() > 0 { // the first read of a topic is not forwarded, as each node starts with its own
 		if lastChange > 0 {
 			update.SetPrevious(lastChange) // nothing changed since, and the other nodes may not know later revisions yet
 		}
@@ -155,6 +157,7 @@
 		row.SetGapRevision(max(row.GapRevision(), update.Revision()))
 		return
 	}
+	noteEra(s, row.Topic().String(), update.Revision(), now)
 	apply(s, update, row.ConfirmedAt(), now)
 	if update.Full() || update.Revision() >= row.GapRevision() {
 		row.SetGap(false)
@@ -192,16 +195,33 @@
 	}
 }
 
+// supersedes reports whether a catalog replaces the current one. A registry that came back from a
+// copy may have an older version at a later revision until operators write the lost one again, so
+// that the version decides between eras. The same version has the same content, and only its
+// revision is taken over.
+func supersedes(catalog, current lagoon.Catalog) bool {
+	if epoch.Of(catalog.Revision()) == epoch.Of(current.Revision()) || catalog.Version() == current.Version() {
+		return catalog.Revision() > current.Revision()
+	}
+	return catalog.Version() > current.Version()
+}
+
 // applyCatalog replaces the catalog if the given one is newer.
 func applyCatalog(s *state.State, catalog lagoon.Catalog) {
 	current := s.Catalog()
-	if catalog.Revision() == 0 || (s.CatalogKnown() && catalog.Revision() <= current.Revision()) {
+	switch {
+	case catalog.Revision() == 0:
+		return
+	case s.CatalogKnown() && !supersedes(catalog, current):
+		if catalog.Version() < current.Version() {
+			s.Record("catalog_older", fmt.Sprint("version ", catalog.Version()), fmt.Sprintf("%s has an older version than %d, which stays in force", epoch.Text(catalog.Revision()), current.Version()))
+		}
 		return
 	}
 	s.SetCatalog(catalog)
 	s.SetCatalogKnown(true)
 	s.SetViewStale(true)
-	s.Record("catalog_adopted", fmt.Sprint("version ", catalog.Version()), fmt.Sprintf("revision %d with %d routes and %d services", catalog.Revision(), len(catalog.Routes()), len(catalog.Pools())))
+	s.Record("catalog_adopted", fmt.Sprint("version ", catalog.Version()), fmt.Sprintf("%s with %d routes and %d services", epoch.Text(catalog.Revision()), len(catalog.Routes()), len(catalog.Pools())))
 	if len(catalog.Warnings()) > 0 {
 		s.Record("catalog_invalid", fmt.Sprint("version ", catalog.Version()), strings.Join(catalog.Warnings(), "; "))
 	}
@@ -249,7 +269,7 @@
 	}
 	s.SetViewStale(true)
 	if returned || old.ID() == "" || old.Draining() != replica.Draining() || old.StartedMilli() != replica.StartedMilli() || (old.ColdDuration() == 0) != (replica.ColdDuration() == 0) {
-		s.Record("server_announced", replica.ID(), fmt.Sprintf("%s at %s in %s, draining %t, cold for %s, revision %d", replica.Service(), replica.Addr(), replica.Zone(), replica.Draining(), replica.ColdDuration(), replica.Revision()))
+		s.Record("server_announced", replica.ID(), fmt.Sprintf("%s at %s in %s, draining %t, cold for %s, %s", replica.Service(), replica.Addr(), replica.Zone(), replica.Draining(), replica.ColdDuration(), epoch.Text(replica.Revision())))
 	}
 }
 
@@ -297,7 +317,7 @@
 	s.SetZonesOut(zones)
 	s.SetViewStale(true)
 	names := slices.Sorted(maps.Keys(zones))
-	s.Record("zones_out", strings.Join(names, ","), fmt.Sprintf("the availability zones that are now taken out of service, at revision %d", update.Revision()))
+	s.Record("zones_out", strings.Join(names, ","), fmt.Sprintf("the availability zones that are now taken out of service, at %s", epoch.Text(update.Revision())))
 }
 
 // applyMembers applies an update of the announced nodes.
--- a/internal/direct/ctrl/ingest/rollouts.go
+++ b/internal/direct/ctrl/ingest/rollouts.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
 
 // applyRollouts applies an update of the orders to roll out versions. An order that is missing
@@ -17,7 +18,7 @@
 		row := s.Orders().Ensure(order.Service())
 		before := row.Order()
 		if change := row.Apply(order, now); change != "" {
-			s.Record("rollout", order.Service(), fmt.Sprintf("%s: target %s within %s, revision %d; before: target %q, %s", change, order.TargetVersion(), order.Duration(), order.Revision(), before.TargetVersion(), before.State()))
+			s.Record("rollout", order.Service(), fmt.Sprintf("%s: target %s within %s, %s; before: target %q, %s", change, order.TargetVersion(), order.Duration(), epoch.Text(order.Revision()), before.TargetVersion(), before.State()))
 		}
 	}
 	removed := update.Removed()
--- /dev/null
+++ b/internal/direct/ctrl/restore_test.go
@@ -0,0 +1,159 @@
+package ctrl_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/pkg/epoch"
+)
+
+// copied is a copy of the registry.
+type copied struct {
+	revision, catalogVersion, catalogRevision uint64
+	servers                                   map[string]lagoon.Replica
+	zonesOut, memberRevisions                 map[string]uint64
+	members                                   map[string]lagoon.Member
+}
+
+// copyRegistry returns a copy of the registry as it is now.
+func (f *fleet) copyRegistry() *copied {
+	return &copied{
+		revision: f.revision, catalogVersion: f.catalogVersion, catalogRevision: cmp.Or(f.catalogRevision, f.catalogVersion),
+		servers: maps.Clone(f.servers), zonesOut: maps.Clone(f.zonesOut), memberRevisions: maps.Clone(f.memberRevisions), members: maps.Clone(f.members),
+	}
+}
+
+// restore ends an outage of the registry, which goes on from a copy. Its revisions go back and
+// are counted in the next era, and a watch of an earlier one finds its history gone.
+func (f *fleet) restore(c *copied) {
+	era := epoch.Of(f.revision) + 1
+	again := func(revision uint64) uint64 {
+		joined, err := epoch.Join(era, epoch.Local(revision))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		return joined
+	}
+	f.registryDown = false
+	f.revision, f.compactedRevision = again(c.revision), again(c.revision)
+	f.catalogVersion, f.catalogRevision = c.catalogVersion, again(c.catalogRevision)
+	f.servers, f.members = map[string]lagoon.Replica{}, maps.Clone(c.members)
+	for id, r := range c.servers {
+		r.SetRevision(again(r.Revision()))
+		f.servers[id] = r
+	}
+	f.zonesOut, f.memberRevisions = map[string]uint64{}, map[string]uint64{}
+	for zone, revision := range c.zonesOut {
+		f.zonesOut[zone] = again(revision)
+	}
+	for name, revision := range c.memberRevisions {
+		f.memberRevisions[name] = again(revision)
+	}
+	f.removed, f.zonesRestored = map[string]uint64{}, map[string]uint64{}
+}
+
+// writeCatalogAgain writes a version that the registry has lost.
+func (f *fleet) writeCatalogAgain(version uint64) {
+	f.revision++
+	f.catalogVersion, f.catalogRevision = version, f.revision
+}
+
+// outage makes the registry unreachable for a time and lets it go on from a copy.
+func (f *fleet) outage(length time.Duration, c *copied) {
+	f.registryDown = true
+	f.run(length)
+	f.restore(c)
+}
+
+// versions returns the catalog version in force at each node.
+func (f *fleet) versions() map[string]uint64 {
+	out := map[string]uint64{}
+	for _, n := range f.nodes {
+		catalog := n.publishedView.Load().Catalog()
+		out[n.self.Name()] = catalog.Version()
+	}
+	return out
+}
+
+// applyBound is the time within which a confirmed change must be in force.
+const applyBound = 3 * time.Second
+
+// Guards against nodes that take what the registry has after its return from a copy as older than
+// what they knew before: a change is in force in time, and no node goes back to an earlier one.
+func TestChangesAfterRestoreAreInForce(t *testing.T) {
+	for _, c := range []struct {
+		nodes  int
+		lost   int           // changes that the registry loses
+		outage time.Duration // before it is back
+		later  int           // changes of other topics after that, so that revisions are given out again
+	}{
+		{nodes: 3, lost: 1, outage: 2 * time.Second},
+		{nodes: 17, lost: 3, outage: 2 * time.Second},
+		{nodes: 17, lost: 2, outage: 100 * time.Millisecond, later: 20},
+		{nodes: 17, lost: 3, outage: 8 * time.Second},
+		{nodes: 60, lost: 3, outage: 2 * time.Second, later: 5},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %d changes lost, %s", c.nodes, c.lost, c.outage), func(t *testing.T) {
+			f := newFleet(t, c.nodes)
+			f.announce("i-1", false)
+			f.run(3 * time.Second)
+			saved := f.copyRegistry()
+			for range c.lost {
+				f.run(time.Second)
+				f.changeCatalog()
+			}
+			f.run(3 * time.Second)
+			newest := f.catalogVersion
+			f.outage(c.outage, saved)
+			for i := range c.later {
+				f.announce(fmt.Sprint("i-", 10+i), false)
+			}
+			f.run(300 * time.Millisecond)
+			for name, version := range f.versions() {
+				if version < newest {
+					t.Errorf("%s: went back to version %d, want %d", name, version, newest)
+				}
+			}
+			f.writeCatalogAgain(newest)
+			f.run(2 * time.Second)
+			f.changeCatalog()
+			f.run(applyBound)
+			f.checkInForce("after the return")
+			f.changeCatalog()
+			f.run(applyBound)
+			f.checkInForce("later")
+		})
+	}
+}
+
+// Guards against a server that is announced after the return at a revision that was given out
+// before, and a departure that is missed.
+func TestServersAfterRestoreAreFollowed(t *testing.T) {
+	f := newFleet(t, 17)
+	f.announce("i-1", false)
+	f.announce("i-2", false)
+	f.run(3 * time.Second)
+	saved := f.copyRegistry()
+	for range 10 {
+		f.announce("i-2", false)
+	}
+	f.run(3 * time.Second)
+	f.outage(2*time.Second, saved)
+	f.run(time.Second)
+	f.announce("i-3", false)
+	f.announce("i-1", true)
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		v := n.publishedView.Load()
+		if got := v.ServerIDs()["i-3"]; !got {
+			t.Errorf("%s: the server announced after the return is used: got %t, want true", n.self.Name(), got)
+		}
+		if got := v.ServerIDs()["i-1"]; got {
+			t.Errorf("%s: the server that drains after the return is used: got %t, want false", n.self.Name(), got)
+		}
+	}
+}
--- a/internal/direct/ctrl/rollo/write.go
+++ b/internal/direct/ctrl/rollo/write.go
@@ -13,6 +13,7 @@
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
 	"github.com/lagoontrail/lagoon/internal/direct/peers"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
 
 // Times of writes.
@@ -87,7 +88,7 @@
 	row.SetWriting(true)
 	row.SetWrittenAt(now)
 	row.SetWrittenState(wanted)
-	s.Record("rollout_verdict", order.Service(), fmt.Sprintf("writes %s for target %s at revision %d: %s; %d nodes reported, order known for %s", wanted, order.TargetVersion(), order.Revision(), row.Test().Evidence(), len(row.Reports()), row.Age()))
+	s.Record("rollout_verdict", order.Service(), fmt.Sprintf("writes %s for target %s at %s: %s; %d nodes reported, order known for %s", wanted, order.TargetVersion(), epoch.Text(order.Revision()), row.Test().Evidence(), len(row.Reports()), row.Age()))
 	writer, clock := s.RegistryWriter(), s.Clock()
 	mayWrite := func() error {
 		if age := clock.Now() - now; age > maxDecisionAge {
@@ -111,6 +112,6 @@
 	}
 	row.SetWriting(false)
 	if err != nil {
-		s.Record("rollout_write_failed", order.Service(), fmt.Sprintf("state %s at revision %d: %v", wanted, order.Revision(), err))
+		s.Record("rollout_write_failed", order.Service(), fmt.Sprintf("state %s at %s: %v", wanted, epoch.Text(order.Revision()), err))
 	}
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -134,6 +134,18 @@
 // SetShareDivisor sets the divisor of the servers' limits that gives this node's share, as last published.
 func (v *State) SetShareDivisor(x float64) { v.shareDivisor = x }
 
+// Era returns the latest era of the registry's revisions that this node knows of.
+func (v *State) Era() uint64 { return v.era }
+
+// SetEra sets the latest era of the registry's revisions that this node knows of.
+func (v *State) SetEra(x uint64) { v.era = x }
+
+// RestoredAt returns when this node learned that the registry was restored from a copy; 0 for never.
+func (v *State) RestoredAt() time.Duration { return v.restoredAt }
+
+// SetRestoredAt sets when this node learned that the registry was restored from a copy; 0 for never.
+func (v *State) SetRestoredAt(x time.Duration) { v.restoredAt = x }
+
 // RegistryLostAt returns when the registry was last known to be unreachable; 0 for never.
 func (v *State) RegistryLostAt() time.Duration { return v.registryLostAt }
 
