Read a topic whose history is gone once a second at most, and once for all nodes that have a hub

What was seen: beside the cause of the runaway calls, a topic whose watch found no history was read at once by every node, and again as often as that happened, without any pause. Cause: the failure was the only one without a pause, and marked the topic as never received, which no hub's push or heartbeat could make up for. The class is a retry without a bound. Change: the topic keeps its state and is marked for a whole read. A hub reads it, at most once a second if its history is gone each time, and a node that has a hub waits 0.7 s for the push. A node whose registry is back waits as long for its hub's confirmations before it calls for each topic.

--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -40,6 +40,7 @@
 	hubWait           time.Duration
 	largeNodes        int                                   // how many nodes are large; 0 makes all alike
 	registryDown      bool                                  // accepts calls and never responds
+	historyGone       bool                                  // has no history for any watch
 	watchesHang       bool                                  // never responds to the watches that are pending now
 	calls             int                                   // registry calls made so far
 	fullPushes        int                                   // pushes of whole topics sent so far
@@ -292,7 +293,7 @@
 		case f.now-p.startedAt < max(f.responseTime, 10*time.Millisecond):
 			remaining = append(remaining, p)
 			continue
-		case p.watch && p.after < f.compactedRevision:
+		case p.watch && (p.after < f.compactedRevision || f.historyGone):
 			result.SetErr(lagoon.ErrCompacted)
 		default:
 			update := f.updateSince(p.topic, p.after)
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/beats"
 	"github.com/lagoontrail/lagoon/internal/direct/ctrl/expire"
 	"github.com/lagoontrail/lagoon/internal/direct/server"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
@@ -38,6 +39,13 @@
 // 3 s, so the delay is short enough.
 const batchDelay = 350 * time.Millisecond
 
+// hubAnswerTime is how long a node that has a hub waits for what the hub learns from a registry that
+// has come back: the hub's own call and the next heartbeat.
+const hubAnswerTime = 700 * time.Millisecond
+
+// rereadInterval is the time between two reads of a whole topic whose history is gone.
+const rereadInterval = time.Second
+
 // unknownAge is the age of a topic that a hub pushed to a starting node, until a heartbeat of
 // the hub or a call tells it. It exceeds every drain time.
 const unknownAge = time.Hour
@@ -70,8 +78,7 @@
 // handleFailure records a failed call and when the registry is called again.
 func handleFailure(s *state.State, row *topics.Row, err error, now time.Duration) {
 	if errors.Is(err, lagoon.ErrCompacted) {
-		row.SetSynced(false)
-		row.SetGap(true)
+		handleHistoryGone(s, row, now)
 		s.Record("history_gone", row.Topic().String(), fmt.Sprintf("the changes after %s are no longer available; reading the whole topic again", epoch.Text(row.Revision())))
 		return
 	}
@@ -89,6 +96,20 @@
 	}
 }
 
+// handleHistoryGone makes the whole topic due to be read. A hub pushes it to a node that has one,
+// and a topic whose history is gone each time is not read over and over again.
+func handleHistoryGone(s *state.State, row *topics.Row, now time.Duration) {
+	row.SetGap(true)
+	row.SetHistoryGone(true)
+	switch {
+	case !s.Hub() && beats.HasHub(s, now):
+		row.SetRetryAt(now + hubAnswerTime)
+	case row.HistoryGoneAt() > 0:
+		row.SetRetryAt(max(now, row.HistoryGoneAt()+rereadInterval))
+	}
+	row.SetHistoryGoneAt(max(now, row.RetryAt()))
+}
+
 // handleUpdate applies a response of the registry.
 func handleUpdate(s *state.State, row *topics.Row, update lagoon.RegistryUpdate, now time.Duration) {
 	noteEra(s, row.Topic().String(), update.Revision(), now)
@@ -102,7 +123,7 @@
 	if !s.RegistryReachable() {
 		s.SetRegistryReachable(true)
 		s.SetViewStale(true)
-		endBackoff(s)
+		endBackoff(s, now)
 		s.Record("registry_regained", row.Topic().String(), fmt.Sprintf("the registry answers again, at %s", epoch.Text(update.Revision())))
 	}
 	if update.Revision() < row.Revision() {
@@ -116,6 +137,7 @@
 		apply(s, update, since, now)
 		row.SetLastChange(update.Revision())
 	}
+	row.SetHistoryGone(row.HistoryGone() && !update.Full())
 	if (update.Full() || !Empty(update)) && row.Revision() > 0 { // the first read of a topic is not forwarded, as each node starts with its own
 		if lastChange > 0 {
 			update.SetPrevious(lastChange) // nothing changed since, and the other nodes may not know later revisions yet
@@ -126,11 +148,16 @@
 	row.SetSynced(true)
 }
 
-// endBackoff makes the calls due that wait because earlier ones failed.
-func endBackoff(s *state.State) {
+// endBackoff makes the calls due that wait because earlier ones failed. A node that has a hub first
+// waits for its confirmations, which bring most of what the calls would.
+func endBackoff(s *state.State, now time.Duration) {
+	at := time.Duration(0)
+	if !s.Hub() && beats.HasHub(s, now) {
+		at = now + hubAnswerTime
+	}
 	for i := range s.Topics().Len() {
-		if row := s.Topics().At(i); row.Failures() > 0 {
-			row.SetRetryAt(0)
+		if row := s.Topics().At(i); row.Failures() > 0 || at > 0 {
+			row.SetRetryAt(at)
 		}
 	}
 }
@@ -162,6 +189,7 @@
 	if update.Full() || update.Revision() >= row.GapRevision() {
 		row.SetGap(false)
 	}
+	row.SetHistoryGone(row.HistoryGone() && !update.Full())
 	row.SetRevision(update.Revision())
 	row.SetLastChange(update.Revision())
 	if !row.Synced() {
--- a/internal/direct/ctrl/pull/pull.go
+++ b/internal/direct/ctrl/pull/pull.go
@@ -210,7 +210,7 @@
 	row.SetCalling(true)
 	now := s.Clock().Now()
 	topic, revision, timeout := row.Topic(), row.Revision(), callTimeout(row)
-	if !row.Synced() {
+	if !row.Synced() || row.HistoryGone() {
 		s.Call(topic, func(ctx context.Context) (lagoon.RegistryUpdate, error) {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
--- a/internal/direct/topics/accessors_gen.go
+++ b/internal/direct/topics/accessors_gen.go
@@ -65,6 +65,18 @@
 // SetGapRevision sets the registry revision up to which updates are missing while gap is set.
 func (v *Row) SetGapRevision(x uint64) { v.gapRevision = x }
 
+// HistoryGone returns whether the changes since the revision are not available, so that the whole topic is to be read.
+func (v *Row) HistoryGone() bool { return v.historyGone }
+
+// SetHistoryGone sets whether the changes since the revision are not available, so that the whole topic is to be read.
+func (v *Row) SetHistoryGone(x bool) { v.historyGone = x }
+
+// HistoryGoneAt returns when that was last found out.
+func (v *Row) HistoryGoneAt() time.Duration { return v.historyGoneAt }
+
+// SetHistoryGoneAt sets when that was last found out.
+func (v *Row) SetHistoryGoneAt(x time.Duration) { v.historyGoneAt = x }
+
 // RetryAt returns when the registry may be called again.
 func (v *Row) RetryAt() time.Duration { return v.retryAt }
 
--- a/internal/direct/topics/topics.go
+++ b/internal/direct/topics/topics.go
@@ -26,6 +26,8 @@
 	probe            bool          // whether the call in progress probes a registry that was unreachable
 	gap              bool          // whether an update is missing, so that the registry is called unless a hub pushes it soon
 	gapRevision      uint64        // the registry revision up to which updates are missing while gap is set
+	historyGone      bool          // whether the changes since the revision are not available, so that the whole topic is to be read
+	historyGoneAt    time.Duration // when that was last found out
 	retryAt          time.Duration // when the registry may be called again
 	failures         int           // the number of consecutive failed calls
 }
