Keep what is known of servers over the copy from which the store goes on

What callers may see: after the store's return, servers that had left or were draining count as ready again, and servers that had turned cold as warm, until their next report; servers announced since the copy are given up at once. Cause: the last read of the whole list replaced what was known, and an entry of the copy has a later revision than one that was lost. Hubs push what they know, not the copy, so that a node that has just started gets the same. Evidence: without the change TestServersOfCopyAreNotUsedAgain finds 17 of 17 nodes that use a server that was removed, drains, or both; TestServerStaysColdAfterRestore finds it warm at once; and with 12 others announced TestServerMissingInCopyStaysInUse finds 0 of 17 nodes that use one that is missing. With it they pass.

--- a/accessors_gen.go
+++ b/accessors_gen.go
@@ -280,6 +280,12 @@
 // SetVersion sets the version of the program that the server runs; empty if it did not say so.
 func (v *Replica) SetVersion(x string) { v.version = x }
 
+// Sequence returns how many reports the run of the server had made; 0 if it did not say so.
+func (v Replica) Sequence() uint64 { return v.sequence }
+
+// SetSequence sets how many reports the run of the server had made; 0 if it did not say so.
+func (v *Replica) SetSequence(x uint64) { v.sequence = x }
+
 // Service returns the service name, which is also the name of the object.
 func (v Rollout) Service() string { return v.service }
 
--- a/direct.go
+++ b/direct.go
@@ -78,6 +78,7 @@
 	startedMilli int64         // the server's start time, in Unix milliseconds; json:"born"
 	revision     uint64        // the revision of the announcement in the platform's store
 	version      string        // the version of the program that the server runs; empty if it did not say so
+	sequence     uint64        // how many reports the run of the server had made; 0 if it did not say so; json:"seq"
 }
 
 // Rollout is an operator's order that the traffic of a service moves to servers of another
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/server"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
@@ -66,6 +67,29 @@
 	return min(now+gracePeriod, since+drainTime-drainMargin)
 }
 
+// Bounds on what is remembered of servers that have left.
+const (
+	rememberTime = time.Minute // a registry goes on from a copy that is some seconds old
+	maxFormer    = 8192        // servers
+)
+
+// remember keeps the run of a server that has left, and forgets those that left long ago.
+func remember(s *state.State, server *server.Row, now time.Duration) {
+	for i := s.Former().Len() - 1; i >= 0; i-- {
+		if now-s.Former().At(i).LeftAt() >= rememberTime {
+			s.Former().Remove(s.Former().ID(i))
+		}
+	}
+	if s.Former().Len() >= maxFormer {
+		return
+	}
+	replica := server.Replica()
+	row := s.Former().Ensure(replica.ID())
+	row.SetStartedMilli(replica.StartedMilli())
+	row.SetSequence(replica.Sequence())
+	row.SetLeftAt(now)
+}
+
 // System removes servers.
 type System struct{}
 
@@ -92,6 +116,9 @@
 	}
 	for _, id := range expired {
 		s.Record("server_dropped", s.Servers().KeyOf(id), "its announcement did not return within the grace period")
+		if row, ok := s.Servers().Resolve(id); ok {
+			remember(s, row, now)
+		}
 		s.Servers().Remove(id)
 		s.SetViewStale(true)
 	}
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -32,6 +32,8 @@
 	revision          uint64
 	compactedRevision uint64 // the registry no longer holds the changes up to this revision
 	servers           map[string]lagoon.Replica
+	reports           uint64        // that servers have made
+	coldFor           time.Duration // for which servers that are announced now are cold
 	removed           map[string]uint64
 	zonesOut          map[string]uint64 // the revision at which each zone was taken out of service
 	zonesRestored     map[string]uint64 // the revision at which each zone was returned to service
@@ -376,6 +378,9 @@
 	r.SetService("desk")
 	r.SetDraining(draining)
 	r.SetRevision(f.revision)
+	f.reports++
+	r.SetSequence(f.reports)
+	r.SetColdDuration(f.coldFor)
 	f.servers[id] = r
 	delete(f.removed, id)
 }
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -258,8 +258,13 @@
 // applyReplicas applies an update of the announced servers.
 func applyReplicas(s *state.State, update lagoon.RegistryUpdate, since, now time.Duration) {
 	announced := map[string]bool{}
+	copied := update.Full() && unsettled(s, now)
 	for _, r := range update.Replicas() {
 		announced[r.ID()] = true
+		if unsettled(s, now) && outdated(s, r, copied) {
+			keepKnown(s, r)
+			continue
+		}
 		applyReplica(s, r, since, now)
 	}
 	var withdrawn []string
@@ -273,7 +278,7 @@
 		s.SetViewStale(true)
 	}
 	withdrawn = append(withdrawn, update.Removed()...)
-	markUnannounced(s, withdrawn, since, now)
+	markUnannounced(s, withdrawn, copied || expire.Lapsed(s, now), since, now)
 }
 
 // applyReplica applies one announcement.
@@ -301,8 +306,9 @@
 	}
 }
 
-// markUnannounced marks the servers whose announcements were removed.
-func markUnannounced(s *state.State, ids []string, since, now time.Duration) {
+// markUnannounced marks the servers whose announcements were removed. lapsed is set if they were
+// probably lost by the registry and return soon.
+func markUnannounced(s *state.State, ids []string, lapsed bool, since, now time.Duration) {
 	var marked []*server.Row
 	for _, id := range ids {
 		row, ok := s.Servers().Find(id)
@@ -316,7 +322,6 @@
 		return
 	}
 	s.SetViewStale(true)
-	lapsed := expire.Lapsed(s, now)
 	lastUse := expire.LastUse(s, since, lapsed, now)
 	for _, row := range marked {
 		if row.DrainingAt() == 0 {
--- a/internal/direct/ctrl/ingest/restored.go
+++ b/internal/direct/ctrl/ingest/restored.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
@@ -24,3 +25,50 @@
 	}
 	s.SetEra(max(era, s.Era()))
 }
+
+// settleTime is how long after the registry was restored nodes do without what it lost: servers
+// report again within two seconds, and operators write again what they had written.
+const settleTime = 5 * time.Second
+
+// unsettled reports whether the registry was restored so lately that it may lack what was written
+// before.
+func unsettled(s *state.State, now time.Duration) bool {
+	return s.RestoredAt() > 0 && now-s.RestoredAt() < settleTime
+}
+
+// outdated reports whether an announcement is older than what is known of the server's run, or the
+// same. The revision cannot tell, as the registry gave it anew, but each run numbers its reports. In
+// a copy, an announcement without a number counts as older than a departure.
+func outdated(s *state.State, r lagoon.Replica, copied bool) bool {
+	if row, ok := s.Servers().Find(r.ID()); ok {
+		known := row.Replica()
+		if r.StartedMilli() != known.StartedMilli() {
+			return r.StartedMilli() < known.StartedMilli()
+		}
+		if r.Sequence() == 0 || known.Sequence() == 0 {
+			return copied && (row.UnannouncedAt() > 0 || (known.Draining() && !r.Draining()))
+		}
+		return r.Sequence() < known.Sequence() || (copied && r.Sequence() == known.Sequence())
+	}
+	row, ok := s.Former().Find(r.ID())
+	if !ok || r.StartedMilli() > row.StartedMilli() {
+		return false
+	}
+	return r.StartedMilli() < row.StartedMilli() || r.Sequence() <= row.Sequence()
+}
+
+// keepKnown keeps what is known of a server whose announcement is outdated, at its new revision. One
+// that is known to have left stays so.
+func keepKnown(s *state.State, r lagoon.Replica) {
+	row, ok := s.Servers().Find(r.ID())
+	if !ok || row.UnannouncedAt() > 0 {
+		s.Record("server_outdated", r.ID(), fmt.Sprintf("the copy from which the registry goes on has it at report %d; it has left since", r.Sequence()))
+		return
+	}
+	known := row.Replica()
+	if r.Sequence() != known.Sequence() {
+		s.Record("server_outdated", r.ID(), fmt.Sprintf("the copy from which the registry goes on has its report %d, draining %t, cold for %s; its report %d counts, draining %t", r.Sequence(), r.Draining(), r.ColdDuration(), known.Sequence(), known.Draining()))
+	}
+	known.SetRevision(r.Revision())
+	row.SetReplica(known)
+}
--- a/internal/direct/ctrl/push/push.go
+++ b/internal/direct/ctrl/push/push.go
@@ -42,6 +42,9 @@
 		return
 	}
 	for _, update := range s.Updates() {
+		if update.Full() {
+			update = fullState(s, update.Topic()) // without what the registry has of before it was restored
+		}
 		m := newPush(s, update)
 		for i := range s.Peers().Len() {
 			s.Link().Send(s.Peers().At(i).Member().Addr(), m) // heartbeats reveal a lost update
--- a/internal/direct/ctrl/restore_test.go
+++ b/internal/direct/ctrl/restore_test.go
@@ -157,3 +157,111 @@
 		}
 	}
 }
+
+// usedBy returns the number of nodes that may send requests to a server, and that do so if no other
+// server is left.
+func (f *fleet) usedBy(id string) (regularly, atAll int) {
+	for _, n := range f.nodes {
+		v := n.publishedView.Load()
+		if until := v.UsableUntilOf(id); !v.ServerIDs()[id] || (until > 0 && f.now >= until) {
+			continue
+		}
+		atAll++
+		for _, r := range v.ServersOf("desk") {
+			if r.ID() == id && !r.Draining() {
+				regularly++
+			}
+		}
+	}
+	return regularly, atAll
+}
+
+// watchFor runs for a time and checks a condition each tenth of a second.
+func (f *fleet) watchFor(d time.Duration, check func()) {
+	for end := f.now + d; f.now < end; {
+		f.run(100 * time.Millisecond)
+		check()
+	}
+}
+
+// Guards against a server that is used again because the copy from which the registry goes on has it
+// as it was before it left: until it reports again, what the nodes know of its run counts.
+func TestServersOfCopyAreNotUsedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(f *fleet)
+	}{
+		{"its entry was removed", func(f *fleet) { f.withdraw("i-1") }},
+		{"it drains", func(f *fleet) { f.announce("i-1", true) }},
+		{"it drained, and its entry was removed", func(f *fleet) {
+			f.announce("i-1", true)
+			f.run(time.Second)
+			f.withdraw("i-1")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 17)
+			f.announce("i-1", false)
+			f.announce("i-2", false)
+			f.run(3 * time.Second)
+			saved := f.copyRegistry()
+			c.leave(f)
+			f.run(5 * time.Second)
+			f.outage(2*time.Second, saved)
+			f.watchFor(4*time.Second, func() {
+				if _, got := f.usedBy("i-1"); got > 0 {
+					t.Fatalf("%s after the return: got %d nodes that use the server, want none", f.now, got)
+				}
+			})
+			f.announce("i-1", false)
+			f.run(time.Second)
+			if got, _ := f.usedBy("i-1"); got != len(f.nodes) {
+				t.Errorf("nodes that use it after it has reported again: got %d, want %d", got, len(f.nodes))
+			}
+		})
+	}
+}
+
+// Guards against a server that counts as warm because the copy is older than its cold phase.
+func TestServerStaysColdAfterRestore(t *testing.T) {
+	f := newFleet(t, 17)
+	f.announce("i-1", false)
+	f.run(3 * time.Second)
+	saved := f.copyRegistry()
+	f.coldFor = 20 * time.Second
+	f.announce("i-1", false)
+	until := f.now + f.coldFor
+	f.run(time.Second)
+	f.outage(2*time.Second, saved)
+	f.watchFor(4*time.Second, func() {
+		for _, n := range f.nodes {
+			if got := n.publishedView.Load().ColdUntilOf("i-1"); got < until {
+				t.Fatalf("%s: cold until %s, want %s at least", n.self.Name(), got, until)
+			}
+		}
+	})
+}
+
+// Guards against servers that are given up because the copy is older than their announcement: they
+// report again within two seconds.
+func TestServerMissingInCopyStaysInUse(t *testing.T) {
+	f := newFleet(t, 17)
+	for i := range 12 { // few of all servers are missing
+		f.announce(fmt.Sprint("i-", 10+i), false)
+	}
+	f.run(3 * time.Second)
+	saved := f.copyRegistry()
+	f.announce("i-2", false)
+	f.run(3 * time.Second)
+	f.outage(2*time.Second, saved)
+	f.watchFor(2*time.Second, func() {
+		if _, got := f.usedBy("i-2"); got != len(f.nodes) {
+			t.Fatalf("%s: got %d nodes that use the server, want %d", f.now, got, len(f.nodes))
+		}
+	})
+	f.announce("i-2", false)
+	f.run(time.Second)
+	if got, _ := f.usedBy("i-2"); got != len(f.nodes) {
+		t.Errorf("nodes that use it after it has reported again: got %d, want %d", got, len(f.nodes))
+	}
+}
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -22,6 +22,7 @@
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/bucket"
 	"github.com/lagoontrail/lagoon/internal/direct/fetch"
+	"github.com/lagoontrail/lagoon/internal/direct/former"
 	"github.com/lagoontrail/lagoon/internal/direct/ledger"
 	"github.com/lagoontrail/lagoon/internal/direct/limits"
 	"github.com/lagoontrail/lagoon/internal/direct/orders"
@@ -110,6 +111,7 @@
 	ledger  ledger.Row
 	buckets rows.Table[bucket.Row]
 	limits  rows.Table[limits.Row]
+	former  rows.Table[former.Row]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -199,6 +201,9 @@
 // Limits returns the table of limits that servers named for all nodes together.
 func (s *State) Limits() *rows.Table[limits.Row] { return &s.limits }
 
+// Former returns the table of servers that have left lately.
+func (s *State) Former() *rows.Table[former.Row] { return &s.former }
+
 // Run runs ticks until ctx is done.
 func (s *State) Run(ctx context.Context) error {
 	var items []any
--- a/internal/wire/forms_gen.go
+++ b/internal/wire/forms_gen.go
@@ -209,6 +209,7 @@
 	StartedMilli int64         `cbor:"8,keyasint,omitempty" json:"born,omitempty"`
 	Revision     uint64        `cbor:"9,keyasint,omitempty" json:"revision,omitempty"`
 	Version      string        `cbor:"10,keyasint,omitempty" json:"version,omitempty"`
+	Sequence     uint64        `cbor:"11,keyasint,omitempty" json:"seq,omitempty"`
 }
 
 func toReplica(v lagoon.Replica) replicaForm {
@@ -223,6 +224,7 @@
 		StartedMilli: v.StartedMilli(),
 		Revision:     v.Revision(),
 		Version:      v.Version(),
+		Sequence:     v.Sequence(),
 	}
 }
 
@@ -238,6 +240,7 @@
 	v.SetStartedMilli(m.StartedMilli)
 	v.SetRevision(m.Revision)
 	v.SetVersion(m.Version)
+	v.SetSequence(m.Sequence)
 	return v
 }
 
