Judge lapsed announcements after they are marked

Cause: whether a quarter of the servers is missing was asked before those of the update were marked. Change: it is asked after that again, and servers missing in a copy count as lapsed beside it.

--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -278,7 +278,7 @@
 		s.SetViewStale(true)
 	}
 	withdrawn = append(withdrawn, update.Removed()...)
-	markUnannounced(s, withdrawn, copied || expire.Lapsed(s, now), since, now)
+	markUnannounced(s, withdrawn, copied, since, now)
 }
 
 // applyReplica applies one announcement.
@@ -306,9 +306,9 @@
 	}
 }
 
-// markUnannounced marks the servers whose announcements were removed. lapsed is set if they were
-// probably lost by the registry and return soon.
-func markUnannounced(s *state.State, ids []string, lapsed bool, since, now time.Duration) {
+// markUnannounced marks the servers whose announcements were removed. copied is set if they are
+// missing in the copy from which the registry goes on, and return soon.
+func markUnannounced(s *state.State, ids []string, copied bool, since, now time.Duration) {
 	var marked []*server.Row
 	for _, id := range ids {
 		row, ok := s.Servers().Find(id)
@@ -322,6 +322,7 @@
 		return
 	}
 	s.SetViewStale(true)
+	lapsed := copied || expire.Lapsed(s, now)
 	lastUse := expire.LastUse(s, since, lapsed, now)
 	for _, row := range marked {
 		if row.DrainingAt() == 0 {
