Keep zones out of service over the copy from which the store goes on

What callers may see: after the store's return, requests go to an availability zone that operators had taken out since the copy was made, until they take it out again. Cause: the list of zones in the copy replaced the one that was known. Change: zones that were out before the return stay out until operators have had 5 s to take them out again. The others follow the registry. Evidence: without the change TestZoneStaysOutAfterRestore finds 17 of 17 nodes that use a server of the zone; with it none, and all of them if the zone is not taken out again.

--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -76,6 +76,7 @@
 	registryCutOff bool // the registry responds to none of its calls
 	requestCount   atomic.Int64
 	hangingTopics  map[lagoon.Topic]bool // calls of these topics never get a response
+	announced      int                   // how often it has announced itself again
 }
 
 // pendingCall is a registry call in progress.
@@ -110,7 +111,7 @@
 	return lagoon.RegistryUpdate{}, r.record(ctx)
 }
 
-func (r *recorder) Announce(context.Context, lagoon.Member) error { return nil }
+func (r *recorder) Announce(context.Context, lagoon.Member) error { return errRecorded }
 
 func (r *recorder) record(ctx context.Context) error {
 	if deadline, ok := ctx.Deadline(); ok {
@@ -158,6 +159,7 @@
 	control.SetHubWait(f.hubWait)
 	control.SetSystems(ctrl.Systems())
 	control.SetRunner(n.call)
+	control.SetWriteRunner(n.write)
 	if f.rollouts != nil {
 		f.rollouts.enable(n)
 	}
@@ -229,6 +231,19 @@
 	n.pending = append(n.pending, &pendingCall{topic: topic, startedAt: now, wait: recorded.wait, deadline: now + recorded.timeout, after: recorded.after, watch: recorded.watch, unanswered: n.hangingTopics[topic]})
 }
 
+// write runs a write of the node's own announcement, which succeeds while the registry responds.
+func (n *node) write(_ func(ctx context.Context) error, done func(s *state.State, err error)) {
+	if n.fleet.registryDown || n.registryCutOff {
+		done(n.control, errors.New("no response"))
+		return
+	}
+	n.announced++
+	n.fleet.calls++
+	n.fleet.revision++
+	n.fleet.members[n.self.Name()], n.fleet.memberRevisions[n.self.Name()] = n.self, n.fleet.revision
+	done(n.control, nil)
+}
+
 // updateSince returns the changes to a topic after a revision.
 func (f *fleet) updateSince(topic lagoon.Topic, after uint64) lagoon.RegistryUpdate {
 	var update lagoon.RegistryUpdate
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -73,6 +73,7 @@
 	for _, m := range s.Pushes() {
 		handlePush(s, m, now)
 	}
+	endSettling(s, now)
 }
 
 // handleFailure records a failed call and when the registry is called again.
@@ -215,7 +216,7 @@
 	case lagoon.TopicReplicas:
 		applyReplicas(s, update, since, now)
 	case lagoon.TopicZones:
-		applyZones(s, update)
+		applyZones(s, update, now)
 	case lagoon.TopicMembers:
 		applyMembers(s, update, now)
 	case lagoon.TopicRollouts:
@@ -334,24 +335,34 @@
 }
 
 // applyZones applies an update of the availability zones taken out of service.
-func applyZones(s *state.State, update lagoon.RegistryUpdate) {
+func applyZones(s *state.State, update lagoon.RegistryUpdate, now time.Duration) {
 	zones := map[string]bool{}
 	if !update.Full() {
 		maps.Copy(zones, s.ZonesOut())
 	}
 	for _, zone := range update.Zones() {
 		zones[zone] = true
+		delete(s.ZonesKept(), zone)
 	}
 	for _, zone := range update.Removed() {
 		delete(zones, zone)
+		delete(s.ZonesKept(), zone)
 	}
+	if update.Full() {
+		keepZones(s, zones, now)
+	}
+	setZonesOut(s, zones, epoch.Text(update.Revision()))
+}
+
+// setZonesOut sets the availability zones that are out of service.
+func setZonesOut(s *state.State, zones map[string]bool, reason string) {
 	if maps.Equal(zones, s.ZonesOut()) {
 		return
 	}
 	s.SetZonesOut(zones)
 	s.SetViewStale(true)
 	names := slices.Sorted(maps.Keys(zones))
-	s.Record("zones_out", strings.Join(names, ","), fmt.Sprintf("the availability zones that are now taken out of service, at %s", epoch.Text(update.Revision())))
+	s.Record("zones_out", strings.Join(names, ","), "the availability zones that are now taken out of service, at "+reason)
 }
 
 // applyMembers applies an update of the announced nodes.
--- a/internal/direct/ctrl/ingest/restored.go
+++ b/internal/direct/ctrl/ingest/restored.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
@@ -72,3 +73,32 @@
 	known.SetRevision(r.Revision())
 	row.SetReplica(known)
 }
+
+// keepZones adds to the zones that the registry lists those that were out of service before it was
+// restored, as operators may have to take them out again.
+func keepZones(s *state.State, zones map[string]bool, now time.Duration) {
+	if !unsettled(s, now) {
+		return
+	}
+	kept := map[string]bool{}
+	for zone := range s.ZonesOut() {
+		if !zones[zone] {
+			zones[zone], kept[zone] = true, true
+		}
+	}
+	s.SetZonesKept(kept)
+}
+
+// endSettling returns zones to service that were not taken out again in time after the registry was
+// restored.
+func endSettling(s *state.State, now time.Duration) {
+	if len(s.ZonesKept()) == 0 || unsettled(s, now) {
+		return
+	}
+	zones := maps.Clone(s.ZonesOut())
+	for zone := range s.ZonesKept() {
+		delete(zones, zone)
+	}
+	s.SetZonesKept(nil)
+	setZonesOut(s, zones, fmt.Sprintf("%s after the registry was restored without the others", settleTime))
+}
--- a/internal/direct/ctrl/push/push.go
+++ b/internal/direct/ctrl/push/push.go
@@ -131,7 +131,11 @@
 		}
 		update.SetReplicas(replicas)
 	case lagoon.TopicZones:
-		update.SetZones(slices.Sorted(maps.Keys(s.ZonesOut())))
+		zones := maps.Clone(s.ZonesOut())
+		for zone := range s.ZonesKept() {
+			delete(zones, zone) // each node keeps what it knows itself
+		}
+		update.SetZones(slices.Sorted(maps.Keys(zones)))
 	case lagoon.TopicMembers:
 		members := []lagoon.Member{s.Self()}
 		for i := range s.Peers().Len() {
--- a/internal/direct/ctrl/restore_test.go
+++ b/internal/direct/ctrl/restore_test.go
@@ -265,3 +265,34 @@
 		t.Errorf("nodes that use it after it has reported again: got %d, want %d", got, len(f.nodes))
 	}
 }
+
+// Guards against requests to an availability zone that was taken out of service, because the copy is
+// older than that. It returns to service only if operators do not take it out again.
+func TestZoneStaysOutAfterRestore(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		f := newFleet(t, 17)
+		f.announce("i-1", false)
+		f.run(3 * time.Second)
+		saved := f.copyRegistry()
+		f.takeZoneOut("a")
+		f.run(2 * time.Second)
+		f.outage(2*time.Second, saved)
+		f.watchFor(3*time.Second, func() {
+			if _, got := f.usedBy("i-1"); got > 0 {
+				t.Fatalf("%s: got %d nodes that use a server of the zone, want none", f.now, got)
+			}
+		})
+		want := len(f.nodes)
+		if again {
+			f.takeZoneOut("a")
+			want = 0
+		}
+		f.run(7 * time.Second)
+		if _, got := f.usedBy("i-1"); got != want {
+			t.Errorf("taken out again %t: got %d nodes that use a server of the zone, want %d", again, got, want)
+		}
+	}
+}
+
+// Guards against nodes that nobody knows because the registry has lost their announcements, and
+// against those that are written although it has them.
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -218,6 +218,12 @@
 // SetZonesOut sets the availability zones taken out of service.
 func (v *State) SetZonesOut(x map[string]bool) { v.zonesOut = x }
 
+// ZonesKept returns the availability zones of these that the registry does not list since it was restored.
+func (v *State) ZonesKept() map[string]bool { return v.zonesKept }
+
+// SetZonesKept sets the availability zones of these that the registry does not list since it was restored.
+func (v *State) SetZonesKept(x map[string]bool) { v.zonesKept = x }
+
 // Stopping returns whether the node is stopping.
 func (v *State) Stopping() bool { return v.stopping }
 
