Announce a node again if the store has lost its announcement

What callers may see: a node that started after the copy was made is missing in the list of nodes that later ones read, until it starts again. Cause: a node wrote its announcement once, and trusted the store to have it for good. Change: a node that the list of the new era does not have, or has with an earlier start, writes it again, once in each era. Hubs push that list as the store has it. Evidence: without the change TestNodesAnnounceThemselvesAgainAfterRestore finds 0 announcements of the two nodes that started since, want 1 each; with it 1 each, and 0 of the other 16.

--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -382,6 +382,9 @@
 	for _, name := range update.Removed() {
 		s.Peers().RemoveKey(name)
 	}
+	if update.Full() && unsettled(s, now) {
+		announceAgain(s, update.Members())
+	}
 	if update.Full() && s.MembersReadAt() == 0 {
 		s.SetMembersReadAt(now)
 		s.SetHeartbeatsSentAt(-time.Hour) // sends heartbeats in this tick, so that the hubs push the other topics sooner
--- a/internal/direct/ctrl/ingest/restored.go
+++ b/internal/direct/ctrl/ingest/restored.go
@@ -1,8 +1,10 @@
 package ingest
 
 import (
+	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
@@ -102,3 +104,22 @@
 	s.SetZonesKept(nil)
 	setZonesOut(s, zones, fmt.Sprintf("%s after the registry was restored without the others", settleTime))
 }
+
+// announceAgain announces this node, once in each era, if the registry has lost its announcement.
+// Only nodes that started after the copy was made do so.
+func announceAgain(s *state.State, members []lagoon.Member) {
+	self := s.Self()
+	listed := slices.ContainsFunc(members, func(m lagoon.Member) bool { return m.Name() == self.Name() && m.StartID() == self.StartID() })
+	if listed || s.AnnouncedEra() == s.Era() || s.Stopping() {
+		return
+	}
+	s.SetAnnouncedEra(s.Era())
+	s.Record("announced_again", self.Name(), "the registry was restored from a copy without this node's announcement")
+	announce := func(ctx context.Context) error { return s.Registry().Announce(ctx, self) } // retries until it succeeds
+	s.Write(announce, func(s *state.State, err error) {
+		if err != nil {
+			s.Record("announcement_lost", self.Name(), err.Error())
+			s.SetAnnouncedEra(0)
+		}
+	})
+}
--- a/internal/direct/ctrl/push/push.go
+++ b/internal/direct/ctrl/push/push.go
@@ -42,7 +42,7 @@
 		return
 	}
 	for _, update := range s.Updates() {
-		if update.Full() {
+		if update.Full() && update.Topic() != lagoon.TopicMembers { // each node looks for itself in these
 			update = fullState(s, update.Topic()) // without what the registry has of before it was restored
 		}
 		m := newPush(s, update)
--- a/internal/direct/ctrl/restore_test.go
+++ b/internal/direct/ctrl/restore_test.go
@@ -54,6 +54,11 @@
 		f.memberRevisions[name] = again(revision)
 	}
 	f.removed, f.zonesRestored = map[string]uint64{}, map[string]uint64{}
+	for _, n := range f.nodes {
+		for _, p := range n.pending { // the registry that they were sent to has ended
+			p.unanswered, p.deadline = true, f.now
+		}
+	}
 }
 
 // writeCatalogAgain writes a version that the registry has lost.
@@ -296,3 +301,25 @@
 
 // Guards against nodes that nobody knows because the registry has lost their announcements, and
 // against those that are written although it has them.
+func TestNodesAnnounceThemselvesAgainAfterRestore(t *testing.T) {
+	f := newFleet(t, 17)
+	f.run(3 * time.Second)
+	saved := f.copyRegistry()
+	f.start("node-03", "a")
+	f.start("node-20", "b")
+	f.run(3 * time.Second)
+	f.outage(2*time.Second, saved)
+	f.run(4 * time.Second)
+	for _, n := range f.nodes {
+		want := 0
+		if name := n.self.Name(); name == "node-03" || name == "node-20" {
+			want = 1
+		}
+		if got := n.announced; got != want {
+			t.Errorf("%s: got %d announcements after the return, want %d", n.self.Name(), got, want)
+		}
+		if got := f.members[n.self.Name()].StartID(); got != n.self.StartID() {
+			t.Errorf("%s: the registry has start %d, want %d", n.self.Name(), got, n.self.StartID())
+		}
+	}
+}
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -218,6 +218,12 @@
 // SetZonesOut sets the availability zones taken out of service.
 func (v *State) SetZonesOut(x map[string]bool) { v.zonesOut = x }
 
+// AnnouncedEra returns the latest era of the registry in which this node announced itself again; 0 for none.
+func (v *State) AnnouncedEra() uint64 { return v.announcedEra }
+
+// SetAnnouncedEra sets the latest era of the registry in which this node announced itself again; 0 for none.
+func (v *State) SetAnnouncedEra(x uint64) { v.announcedEra = x }
+
 // ZonesKept returns the availability zones of these that the registry does not list since it was restored.
 func (v *State) ZonesKept() map[string]bool { return v.zonesKept }
 
