Keep the outcome of a roll-out that the store has lost, and write it again

What callers may see: after the store's return, a version that was found bad and rolled back gets requests again, as its order is open in the copy, or is written again without its outcome. Cause: the state of an order in the store counted as the latest, whichever life of the store it is of. Change: an order that has ended here stays so for the same target while the store may lack what was written, and the first hub writes the outcome again. A list without an order does not withdraw it then.

--- a/internal/direct/ctrl/ingest/rollouts.go
+++ b/internal/direct/ctrl/ingest/rollouts.go
@@ -17,12 +17,16 @@
 		listed[order.Service()] = true
 		row := s.Orders().Ensure(order.Service())
 		before := row.Order()
+		if unsettled(s, now) && row.Keep(order) {
+			s.Record("rollout", order.Service(), fmt.Sprintf("the registry was restored without its outcome, which stays %s: target %s, %s", before.State(), order.TargetVersion(), epoch.Text(order.Revision())))
+			continue
+		}
 		if change := row.Apply(order, now); change != "" {
 			s.Record("rollout", order.Service(), fmt.Sprintf("%s: target %s within %s, %s; before: target %q, %s", change, order.TargetVersion(), order.Duration(), epoch.Text(order.Revision()), before.TargetVersion(), before.State()))
 		}
 	}
 	removed := update.Removed()
-	if update.Full() {
+	if update.Full() && !unsettled(s, now) { // operators write lost orders again
 		for i := range s.Orders().Len() {
 			if service := s.Orders().Key(i); !listed[service] {
 				removed = append(removed, service)
--- a/internal/direct/ctrl/rollo/rollo.go
+++ b/internal/direct/ctrl/rollo/rollo.go
@@ -83,6 +83,10 @@
 		if row.Open() && now-row.DecidedAt() >= decideInterval {
 			decide(s, row, now)
 		}
+		if row.OutcomeLost() && beats.IsFirstHub(s, now) {
+			order := row.Order()
+			writeState(s, row, order.State(), "the registry has lost it", now)
+		}
 	}
 }
 
--- a/internal/direct/ctrl/rollo/write.go
+++ b/internal/direct/ctrl/rollo/write.go
@@ -81,14 +81,22 @@
 
 // write writes the state of an order if the registry has another one.
 func write(s *state.State, row *orders.Row, now time.Duration) {
-	order, wanted := row.Order(), stateOf(s, row, now)
-	if s.RegistryWriter() == nil || wanted == order.State() || row.Writing() || (row.WrittenAt() > 0 && row.WrittenState() == wanted && now-row.WrittenAt() < rewriteAfter) {
+	order := row.Order()
+	if wanted := stateOf(s, row, now); wanted != order.State() {
+		writeState(s, row, wanted, fmt.Sprintf("%s; %d nodes reported, order known for %s", row.Test().Evidence(), len(row.Reports()), row.Age()), now)
+	}
+}
+
+// writeState writes a state of an order, unless that was done a moment ago.
+func writeState(s *state.State, row *orders.Row, wanted lagoon.RolloutState, reason string, now time.Duration) {
+	if s.RegistryWriter() == nil || row.Writing() || (row.WrittenAt() > 0 && row.WrittenState() == wanted && now-row.WrittenAt() < rewriteAfter) {
 		return
 	}
 	row.SetWriting(true)
 	row.SetWrittenAt(now)
 	row.SetWrittenState(wanted)
-	s.Record("rollout_verdict", order.Service(), fmt.Sprintf("writes %s for target %s at %s: %s; %d nodes reported, order known for %s", wanted, order.TargetVersion(), epoch.Text(order.Revision()), row.Test().Evidence(), len(row.Reports()), row.Age()))
+	order := row.Order()
+	s.Record("rollout_verdict", order.Service(), fmt.Sprintf("writes %s for target %s at %s: %s", wanted, order.TargetVersion(), epoch.Text(order.Revision()), reason))
 	writer, clock := s.RegistryWriter(), s.Clock()
 	mayWrite := func() error {
 		if age := clock.Now() - now; age > maxDecisionAge {
--- a/internal/direct/orders/accessors_gen.go
+++ b/internal/direct/orders/accessors_gen.go
@@ -48,6 +48,12 @@
 // SetEndedRevision sets the revision of the object when this node learned that the order had ended; 0 before.
 func (v *Row) SetEndedRevision(x uint64) { v.endedRevision = x }
 
+// OutcomeLost returns whether the registry has lost the outcome of the order, which is to be written again.
+func (v *Row) OutcomeLost() bool { return v.outcomeLost }
+
+// SetOutcomeLost sets whether the registry has lost the outcome of the order, which is to be written again.
+func (v *Row) SetOutcomeLost(x bool) { v.outcomeLost = x }
+
 // Granted returns whether a decider has sent a grant for the order.
 func (v *Row) Granted() bool { return v.granted }
 
--- a/internal/direct/orders/orders.go
+++ b/internal/direct/orders/orders.go
@@ -32,6 +32,7 @@
 	excluded       []string       // the targets of earlier orders that were not completed
 	old            []string       // the versions other than the target that had servers while the order was open
 	endedRevision  uint64         // the revision of the object when this node learned that the order had ended; 0 before
+	outcomeLost    bool           // whether the registry has lost the outcome of the order, which is to be written again
 
 	granted     bool          // whether a decider has sent a grant for the order
 	grantEcho   time.Duration // the send time of the report that the last grant answers
@@ -158,6 +159,7 @@
 	r.old = slices.DeleteFunc(r.old, func(version string) bool { return version == order.TargetVersion() })
 	r.order = order
 	r.withdrawnUntil = 0
+	r.outcomeLost = false
 	if order.State().Closed() && (replaced || !known || !before.State().Closed()) {
 		r.endedRevision = order.Revision()
 	}
@@ -171,6 +173,18 @@
 	return ""
 }
 
+// Keep applies a version of the order that a restored registry has without its outcome, and reports
+// whether it is one: the outcome stays, and is to be written again.
+func (r *Row) Keep(order lagoon.Rollout) bool {
+	ended := r.order.State().Closed() && r.withdrawnUntil == 0
+	if !ended || order.Invalid() || order.State().Closed() || order.TargetVersion() != r.order.TargetVersion() || order.Revision() <= r.order.Revision() {
+		return false
+	}
+	r.order.SetRevision(order.Revision())
+	r.outcomeLost = true
+	return true
+}
+
 // Withdraw applies the removal of the order. One that was not completed keeps its effect as if
 // it had been rolled back.
 func (r *Row) Withdraw(now time.Duration) {
