Accept keys on the word of a restored store only once it has the catalog in use

What callers may see: where keys must be refused within a bound after their removal, keys accepted for up to that bound after the last look at a copy, which may lack a removal. Cause: a copy confirmed that no change is missing. Change: until the store has the catalog in use again, or operators have had 5 s to write it, the time of the last confirmation before the outage counts. Removed keys stay removed, as catalogs are ordered by version.

--- a/internal/direct/ctrl/ingest/restored.go
+++ b/internal/direct/ctrl/ingest/restored.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoontrail/lagoon"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
+	"github.com/lagoontrail/lagoon/internal/direct/topics"
 	"github.com/lagoontrail/lagoon/pkg/epoch"
 )
 
@@ -24,6 +25,10 @@
 	}
 	if known {
 		s.SetRestoredAt(now)
+		for i := range s.Topics().Len() {
+			row := s.Topics().At(i)
+			row.SetProvenAt(row.ConfirmedAt())
+		}
 		s.Record("registry_restored", source, fmt.Sprintf("it goes on from a copy, at %s after era %d; revisions of before do not count any more", epoch.Text(revision), s.Era()))
 	}
 	s.SetEra(max(era, s.Era()))
@@ -33,6 +38,17 @@
 // report again within two seconds, and operators write again what they had written.
 const settleTime = 5 * time.Second
 
+// ConfirmedAt returns when the registry last confirmed that the catalog in use is the latest. A copy
+// from which it goes on confirms nothing before it has the catalog in use, for as long as operators
+// may have to write it again.
+func ConfirmedAt(s *state.State, row *topics.Row, now time.Duration) time.Duration {
+	catalog := s.Catalog()
+	if unsettled(s, now) && epoch.Of(catalog.Revision()) < s.Era() {
+		return min(row.ProvenAt(), row.ConfirmedAt())
+	}
+	return row.ConfirmedAt()
+}
+
 // unsettled reports whether the registry was restored so lately that it may lack what was written
 // before.
 func unsettled(s *state.State, now time.Duration) bool {
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -32,7 +32,7 @@
 		s.SetRosterKnown(true)
 		s.SetViewStale(true)
 	}
-	catalog := currency(s)
+	catalog := currency(s, now)
 	if !s.ViewStale() && !waitEnded(s) {
 		renew(s, catalog)
 		return
--- a/internal/direct/ctrl/publsh/valid.go
+++ b/internal/direct/ctrl/publsh/valid.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoontrail/lagoon"
+	"github.com/lagoontrail/lagoon/internal/direct/ctrl/ingest"
 	"github.com/lagoontrail/lagoon/internal/direct/state"
 )
 
@@ -28,7 +29,7 @@
 
 // currency returns the validity of the catalog. The time of its last confirmation matters only
 // for keys, so it is 0 without organisations.
-func currency(s *state.State) validity {
+func currency(s *state.State, now time.Duration) validity {
 	row, ok := s.Topics().Find(lagoon.TopicCatalog.String())
 	catalog := s.Catalog()
 	if !ok || (!catalog.Identified() && len(catalog.Organisations()) == 0) {
@@ -40,7 +41,7 @@
 	case row.UnconfirmedSince() > 0:
 		v.validUntil = row.UnconfirmedSince() + firstPushWait
 	default:
-		v.validUntil = max(row.ConfirmedAt()+s.RevokeTime()-revokeMargin, 1)
+		v.validUntil = max(ingest.ConfirmedAt(s, row, now)+s.RevokeTime()-revokeMargin, 1)
 	}
 	return v
 }
--- a/internal/direct/ctrl/restore_test.go
+++ b/internal/direct/ctrl/restore_test.go
@@ -17,13 +17,14 @@
 	servers                                   map[string]lagoon.Replica
 	zonesOut, memberRevisions                 map[string]uint64
 	members                                   map[string]lagoon.Member
+	declared                                  lagoon.Catalog
 }
 
 // copyRegistry returns a copy of the registry as it is now.
 func (f *fleet) copyRegistry() *copied {
 	return &copied{
 		revision: f.revision, catalogVersion: f.catalogVersion, catalogRevision: cmp.Or(f.catalogRevision, f.catalogVersion),
-		servers: maps.Clone(f.servers), zonesOut: maps.Clone(f.zonesOut), memberRevisions: maps.Clone(f.memberRevisions), members: maps.Clone(f.members),
+		servers: maps.Clone(f.servers), zonesOut: maps.Clone(f.zonesOut), memberRevisions: maps.Clone(f.memberRevisions), members: maps.Clone(f.members), declared: f.declared,
 	}
 }
 
@@ -41,7 +42,7 @@
 	f.registryDown = false
 	f.revision, f.compactedRevision = again(c.revision), again(c.revision)
 	f.catalogVersion, f.catalogRevision = c.catalogVersion, again(c.catalogRevision)
-	f.servers, f.members = map[string]lagoon.Replica{}, maps.Clone(c.members)
+	f.servers, f.members, f.declared = map[string]lagoon.Replica{}, maps.Clone(c.members), c.declared
 	for id, r := range c.servers {
 		r.SetRevision(again(r.Revision()))
 		f.servers[id] = r
@@ -323,3 +324,33 @@
 		}
 	}
 }
+
+// Guards against a removed key that is accepted again because the copy is older than its removal, and
+// against keys that are accepted on the word of a copy for longer than a removal may take.
+func TestRemovedKeyIsRefusedAfterRestore(t *testing.T) {
+	f := newKeyFleet(t, 12, map[string]string{"k": "a", "removed": "b"})
+	saved := f.copyRegistry()
+	f.declareKeys(map[string]string{"k": "a"})
+	removed := f.catalogVersion
+	f.run(5 * time.Second)
+	downAt := f.now
+	f.outage(2*time.Second, saved)
+	f.watchFor(2*time.Second, func() {
+		for _, n := range f.nodes {
+			if got := n.accepts("removed"); got != "" {
+				t.Fatalf("%s: got the removed key accepted for %q, want it refused", n.self.Name(), got)
+			}
+			if got, most := n.publishedView.Load().CatalogValidUntil(), downAt+revokeLimit; got > most {
+				t.Fatalf("%s: got keys accepted until %s on the word of a copy, want at most %s", n.self.Name(), got, most)
+			}
+		}
+	})
+	f.declareKeys(map[string]string{"k": "a"})
+	f.writeCatalogAgain(removed)
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		if got := n.accepts("k"); got != "a" {
+			t.Errorf("%s: got a key accepted for %q after the version was written again, want a", n.self.Name(), got)
+		}
+	}
+}
--- a/internal/direct/topics/accessors_gen.go
+++ b/internal/direct/topics/accessors_gen.go
@@ -47,6 +47,12 @@
 // SetUnconfirmedSince sets when a hub pushed the topic to this starting node, until its age is known; 0 if it is known.
 func (v *Row) SetUnconfirmedSince(x time.Duration) { v.unconfirmedSince = x }
 
+// ProvenAt returns when it did so last before it was restored from a copy; 0 if it was not.
+func (v *Row) ProvenAt() time.Duration { return v.provenAt }
+
+// SetProvenAt sets when it did so last before it was restored from a copy; 0 if it was not.
+func (v *Row) SetProvenAt(x time.Duration) { v.provenAt = x }
+
 // Probe returns whether the call in progress probes a registry that was unreachable.
 func (v *Row) Probe() bool { return v.probe }
 
--- a/internal/direct/topics/topics.go
+++ b/internal/direct/topics/topics.go
@@ -23,6 +23,7 @@
 	calling          bool          // whether a registry call is in progress
 	confirmedAt      time.Duration // when the registry, directly or through a hub, last confirmed that no change is missing
 	unconfirmedSince time.Duration // when a hub pushed the topic to this starting node, until its age is known; 0 if it is known
+	provenAt         time.Duration // when it did so last before it was restored from a copy; 0 if it was not
 	probe            bool          // whether the call in progress probes a registry that was unreachable
 	gap              bool          // whether an update is missing, so that the registry is called unless a hub pushes it soon
 	gapRevision      uint64        // the registry revision up to which updates are missing while gap is set
