--- a/internal/direct/ctrl/ctrl_test.go
+++ b/internal/direct/ctrl/ctrl_test.go
@@ -253,3 +253,27 @@
 	f.run(zoneOutLimit)
 	checkServers("back", 2)
 }
+
+// Guards against a draining server that is used again because its announcement lapses while it drains
+// and returns: its drain time began with the first one.
+func TestDrainingServerIsNotUsedAgainWhenItReturns(t *testing.T) {
+	f := newFleet(t, 13)
+	f.announce("s1", false)
+	f.announce("s2", false)
+	f.run(5 * time.Second)
+	f.announce("s1", true)
+	f.run(3600 * time.Millisecond)
+	f.withdraw("s1") // it has been silent for three intervals
+	f.run(1400 * time.Millisecond)
+	f.announce("s1", true)
+	f.watchFor(2*time.Second, func() {
+		if _, got := f.usedBy("s1"); got > 0 {
+			t.Fatalf("%s: got %d nodes that use the draining server, want none", f.now, got)
+		}
+	})
+	f.announce("s1", false) // it takes the departure back
+	f.run(time.Second)
+	if got, _ := f.usedBy("s1"); got != len(f.nodes) {
+		t.Errorf("nodes that use the server once it is ready: got %d, want %d", got, len(f.nodes))
+	}
+}
