Take entries for lost in an outage only on the word of a node that had it

Cause: a quarter of the servers was missing and hubs reported failing calls, so that the server counted as one whose entry was lost, although the store served the nodes that brought the news. Evidence: without the change TestServerThatLeftWhileHubsAreTurnedAway finds the server in use after 3.1 s, 3 s are allowed; with it it passes.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -132,6 +132,9 @@
 	row.SetHub(m.Hub())
 	row.SetRosterAcked(m.RosterAcked())
 	row.SetCallsFailingFor(m.CallsFailingFor())
+	if m.CallsFailingFor() > 0 {
+		row.SetCallsFailedAt(now)
+	}
 	row.SetCutOffNodes(m.CutOffNodes())
 	row.SetNeedsUpdate(m.NeedsUpdate())
 	row.SetRequestRate(m.RequestRate())
--- a/internal/direct/ctrl/ctrl_test.go
+++ b/internal/direct/ctrl/ctrl_test.go
@@ -277,3 +277,27 @@
 		t.Errorf("nodes that use the server once it is ready: got %d, want %d", got, len(f.nodes))
 	}
 }
+
+// Guards against a server that has left and is used as one whose announcement was lost, because the
+// registry turns some nodes away, the hubs among them, and a quarter of the servers is missing. The
+// news comes from nodes that it serves, so that nothing was lost.
+func TestServerThatLeftWhileHubsAreTurnedAway(t *testing.T) {
+	f := newFleet(t, 6)
+	for _, id := range []string{"s1", "s2", "s3", "s4"} {
+		f.announce(id, false)
+	}
+	f.run(5 * time.Second)
+	for _, n := range f.hubs() {
+		n.registryCutOff = true
+	}
+	f.withdraw("s1")
+	left := f.now
+	f.watchFor(6*time.Second, func() {
+		for _, n := range f.nodes {
+			until := n.publishedView.Load().UsableUntilOf("s1")
+			if !n.registryCutOff && f.now-left > drainLimit && n.publishedView.Load().ServerIDs()["s1"] && (until == 0 || f.now < until) {
+				t.Fatalf("%s: uses the server %s after its announcement was removed, want at most %s", n.self.Name(), f.now-left, drainLimit)
+			}
+		}
+	})
+}
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -33,15 +33,24 @@
 	lapsedServerShare = 0.25                    // of the servers; an outage affects the announcements of all servers alike, while few servers leave at a time
 )
 
-// Outage reports whether the registry was unreachable within outageWindow.
-func Outage(s *state.State, now time.Duration) bool {
-	return s.RegistryLostAt() > 0 && now-s.RegistryLostAt() < outageWindow
+// Outage reports whether a node's registry calls failed within outageWindow: this node's, or those
+// of another one.
+func Outage(s *state.State, node string, now time.Duration) bool {
+	failedAt := s.LastCallFailedAt()
+	if node != s.Self().Name() {
+		failedAt = 0
+		if row, ok := s.Peers().Find(node); ok {
+			failedAt = row.CallsFailedAt()
+		}
+	}
+	return failedAt > 0 && now-failedAt < outageWindow
 }
 
 // Lapsed reports whether the announcements that are missing were probably lost in an
-// outage of the registry.
-func Lapsed(s *state.State, now time.Duration) bool {
-	if !Outage(s, now) {
+// outage of the registry. If the registry has turned away others, but not the node that brought the
+// news, nothing was lost.
+func Lapsed(s *state.State, newsFrom string, now time.Duration) bool {
+	if !Outage(s, newsFrom, now) {
 		return false
 	}
 	unannounced := 0
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -133,6 +133,7 @@
 	}
 	lastChange := row.LastChange()
 	if update.Full() || !Empty(update) {
+		s.SetNewsFrom(s.Self().Name())
 		apply(s, update, since, now)
 		row.SetLastChange(update.Revision())
 	}
@@ -184,6 +185,7 @@
 		return
 	}
 	noteEra(s, row.Topic().String(), update.Revision(), now)
+	s.SetNewsFrom(m.From())
 	apply(s, update, row.ConfirmedAt(), now)
 	if update.Full() || update.Revision() >= row.GapRevision() {
 		row.SetGap(false)
--- a/internal/direct/peers/accessors_gen.go
+++ b/internal/direct/peers/accessors_gen.go
@@ -59,6 +59,12 @@
 // SetRequestRate sets the requests per second that it receives.
 func (v *Row) SetRequestRate(x float64) { v.requestRate = x }
 
+// CallsFailedAt returns when a heartbeat of it last said that its registry calls fail; 0 for never.
+func (v *Row) CallsFailedAt() time.Duration { return v.callsFailedAt }
+
+// SetCallsFailedAt sets when a heartbeat of it last said that its registry calls fail; 0 for never.
+func (v *Row) SetCallsFailedAt(x time.Duration) { v.callsFailedAt = x }
+
 // TotalRequestRate returns the requests per second of all nodes, as it reports as a hub.
 func (v *Row) TotalRequestRate() float64 { return v.totalRequestRate }
 
--- a/internal/direct/peers/peers.go
+++ b/internal/direct/peers/peers.go
@@ -25,6 +25,7 @@
 	liveAt           time.Duration   // when it last counted as live
 	hub              bool            // whether it watches the registry on behalf of others
 	requestRate      float64         // the requests per second that it receives
+	callsFailedAt    time.Duration   // when a heartbeat of it last said that its registry calls fail; 0 for never
 	totalRequestRate float64         // the requests per second of all nodes, as it reports as a hub
 	pushedStartID    uint64          // the start ID of the run to which this node, as a hub, has sent all topics
 	roster           map[string]bool // the nodes that it, as a hub, lists as live
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -224,6 +224,12 @@
 // SetAnnouncedEra sets the latest era of the registry in which this node announced itself again; 0 for none.
 func (v *State) SetAnnouncedEra(x uint64) { v.announcedEra = x }
 
+// NewsFrom returns the node that read the update which is applied now.
+func (v *State) NewsFrom() string { return v.newsFrom }
+
+// SetNewsFrom sets the node that read the update which is applied now.
+func (v *State) SetNewsFrom(x string) { v.newsFrom = x }
+
 // ZonesKept returns the availability zones of these that the registry does not list since it was restored.
 func (v *State) ZonesKept() map[string]bool { return v.zonesKept }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -79,6 +79,7 @@
 	applyTime         time.Duration                                                                           // within which a change accepted by the registry must be in force; 0 means the default
 	zonesOut          map[string]bool                                                                         // the availability zones taken out of service
 	announcedEra      uint64                                                                                  // the latest era of the registry in which this node announced itself again; 0 for none
+	newsFrom          string                                                                                  // the node that read the update which is applied now
 	zonesKept         map[string]bool                                                                         // the availability zones of these that the registry does not list since it was restored
 	stopping          bool                                                                                    // whether the node is stopping
 	refuseAt          time.Duration                                                                           // from when new requests are refused because the node is stopping; 0 if it is not
