Collect the limits for heartbeats once, and drop the time of the last outage

Cause: a hub went over all limits again for each node, so that the cost grew with both; and nothing reads any more when the registry was last unreachable for anybody, since entries count as lost on the word of the node that brought the news. Change: heartbeats take the limits from two lists that are made once for all nodes; the unused time goes. Measured: the tests of limits, hubs, outages and returns pass; no behaviour changes.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -186,9 +186,7 @@
 // revision up to which the hub has received each topic. A topic that changed after
 // the revision held here is marked to be read from the registry unless it is pushed soon.
 func applyHubState(s *state.State, m *lagoon.Heartbeat, now time.Duration) {
-	if m.CallsFailingFor() > 0 {
-		s.SetRegistryLostAt(now)
-	} else if !s.RegistryReachable() && !s.Hub() {
+	if m.CallsFailingFor() == 0 && !s.RegistryReachable() && !s.Hub() {
 		s.SetRegistryReachable(true)
 		s.SetViewStale(true)
 		s.Record("registry_regained", "", "the registry answers hub "+m.From().Name())
@@ -304,9 +302,11 @@
 		heartbeat.SetRosterVersion(s.Roster().Version())
 	}
 	hubs := preferredHubs(s, now)
+	changed, all := spread.Collect(s, now)
 	for i := range s.Peers().Len() {
 		row := s.Peers().At(i)
 		if s.Hub() || row.Hub() || slices.Contains(hubs, row.Member().Name()) {
+			heartbeat.SetLimits(spread.For(row, changed, all, now))
 			s.Link().Send(row.Member().Addr(), heartbeatFor(s, row, *heartbeat, live, now)) // the next heartbeat makes up for a lost one
 		}
 	}
@@ -322,7 +322,6 @@
 		heartbeat.SetAssignedShare(row.AssignedShare())
 	}
 	heartbeat.SetRolloutGrants(grants.For(s, row.Member().Name(), now))
-	heartbeat.SetLimits(spread.For(s, row, now))
 	heard := heartbeatWithin(row, now, NodeTimeout)
 	if !s.Hub() || (heard && row.RosterAcked() == s.Roster().Version()) {
 		return &heartbeat
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -108,9 +108,6 @@
 
 // Run removes the servers whose grace period has ended.
 func (System) Run(s *state.State, now time.Duration) {
-	if !s.RegistryReachable() {
-		s.SetRegistryLostAt(now)
-	}
 	var expired []lagoon.RowID
 	for i := range s.Servers().Len() {
 		row := s.Servers().At(i)
--- a/internal/direct/ctrl/spread/spread.go
+++ b/internal/direct/ctrl/spread/spread.go
@@ -3,7 +3,8 @@
 // # Usage
 //
 //	systems = append(systems, spread.System{})
-//	heartbeat.SetLimits(spread.For(s, peer, now))
+//	changed, all := spread.Collect(s, now)
+//	heartbeat.SetLimits(spread.For(peer, changed, all, now))
 //
 // A node tells the hubs of the changes that its own responses showed, and the hubs tell all nodes,
 // in the heartbeats that they send anyway. A message that is lost does no harm, because each node
@@ -56,13 +57,14 @@
 	}
 }
 
-// For returns the limits that the heartbeat to another node carries.
-func For(s *state.State, row *peers.Row, now time.Duration) []lagoon.ServerLimit {
-	all := s.Hub() && now-row.KnownAt() < startTime
-	var out []lagoon.ServerLimit
+// Collect returns what the heartbeats that are sent now may carry: the limits that changed lately, and
+// all these with the others that a hub knows to be in force. It goes over the limits once, however many
+// nodes are told.
+func Collect(s *state.State, now time.Duration) (changed, all []lagoon.ServerLimit) {
 	for i := range s.Limits().Len() {
 		l := s.Limits().At(i)
-		if len(out) == maxTold || (now-l.ChangedAt() >= tellTime && !(all && l.Limited())) {
+		isNew := now-l.ChangedAt() < tellTime
+		if !isNew && !(s.Hub() && l.Limited()) {
 			continue
 		}
 		var statement lagoon.ServerLimit
@@ -71,7 +73,21 @@
 		statement.SetLimited(l.Limited())
 		statement.SetPerSecond(l.PerSecond())
 		statement.SetAge(now - l.StatedAt())
-		out = append(out, statement)
+		if isNew && len(changed) < maxTold {
+			changed = append(changed, statement)
+		}
+		if len(all) < maxTold {
+			all = append(all, statement)
+		}
+	}
+	return changed, all
+}
+
+// For returns the limits that the heartbeat to another node carries: all of them if it became known
+// lately.
+func For(row *peers.Row, changed, all []lagoon.ServerLimit, now time.Duration) []lagoon.ServerLimit {
+	if now-row.KnownAt() < startTime {
+		return all
 	}
-	return out
+	return changed
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -146,12 +146,6 @@
 // SetRestoredAt sets when this node learned that the registry was restored from a copy; 0 for never.
 func (v *State) SetRestoredAt(x time.Duration) { v.restoredAt = x }
 
-// RegistryLostAt returns when the registry was last known to be unreachable; 0 for never.
-func (v *State) RegistryLostAt() time.Duration { return v.registryLostAt }
-
-// SetRegistryLostAt sets when the registry was last known to be unreachable; 0 for never.
-func (v *State) SetRegistryLostAt(x time.Duration) { v.registryLostAt = x }
-
 // Hub returns whether this node watches the registry on behalf of others.
 func (v *State) Hub() bool { return v.hub }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -66,7 +66,6 @@
 	shareDivisor      float64                                                                                 // the divisor of the servers' limits that gives this node's share, as last published
 	era               uint64                                                                                  // the latest era of the registry's revisions that this node knows of
 	restoredAt        time.Duration                                                                           // when this node learned that the registry was restored from a copy; 0 for never
-	registryLostAt    time.Duration                                                                           // when the registry was last known to be unreachable; 0 for never
 	hub               bool                                                                                    // whether this node watches the registry on behalf of others
 	callsFailingSince time.Duration                                                                           // since when this node's registry calls have failed; 0 while they succeed
 	rosterKnown       bool                                                                                    // whether a hub has listed the live nodes, or would have done so by now
