Tell nodes that start the limits of announced servers only

Cause: a hub kept the limits of servers that had gone, and told them to each node that started; 256 are told at most, so that those could leave no room for the limits in force. Change: only limits of servers that are announced are told beside the recent changes.

--- a/internal/direct/ctrl/limit_test.go
+++ b/internal/direct/ctrl/limit_test.go
@@ -40,6 +40,7 @@
 func TestNewsOfLimitReachesAllNodes(t *testing.T) {
 	const nodes = 30
 	f := newFleet(t, nodes)
+	f.announce("i-1", false)
 	f.run(3 * time.Second)
 	f.nodes[17].tell(limitOf("i-1", 33))
 	f.run(1500 * time.Millisecond)
@@ -84,3 +85,22 @@
 		t.Errorf("limits in heartbeats long after the last change: got %d, want 0", told)
 	}
 }
+
+// Guards against limits of servers that are gone for good, which leave no room in a heartbeat for
+// those in force.
+func TestLimitsOfServersThatLeftAreNotTold(t *testing.T) {
+	f := newFleet(t, 10)
+	f.announce("i-1", false)
+	f.run(3 * time.Second)
+	for i := range 400 {
+		f.nodes[2].tell(limitOf(fmt.Sprint("gone-", i), 20))
+	}
+	f.run(4 * time.Second)
+	f.nodes[2].tell(limitOf("i-1", 33))
+	f.run(4 * time.Second)
+	f.start("node-05", "c")
+	f.run(1500 * time.Millisecond)
+	if got, want := f.limited("i-1", 33), len(f.nodes); got != want {
+		t.Errorf("nodes that know the limit after one has started again: got %d, want %d", got, want)
+	}
+}
--- a/internal/direct/ctrl/spread/spread.go
+++ b/internal/direct/ctrl/spread/spread.go
@@ -58,13 +58,14 @@
 }
 
 // Collect returns what the heartbeats that are sent now may carry: the limits that changed lately, and
-// all these with the others that a hub knows to be in force. It goes over the limits once, however many
+// all these with the others of announced servers that a hub knows to be in force. It goes over the limits once, however many
 // nodes are told.
 func Collect(s *state.State, now time.Duration) (changed, all []lagoon.ServerLimit) {
 	for i := range s.Limits().Len() {
 		l := s.Limits().At(i)
+		_, announced := s.Servers().Find(s.Limits().Key(i))
 		isNew := now-l.ChangedAt() < tellTime
-		if !isNew && !(s.Hub() && l.Limited()) {
+		if !isNew && !(s.Hub() && l.Limited() && announced) {
 			continue
 		}
 		var statement lagoon.ServerLimit
