Do not use a run that a node first sees draining

A draining server was used 5 s and more after it began to drain by a node that had started while its entry was gone, and by all nodes if the entry was gone for over a minute; a server whose entry had lapsed while it was ready was used up to 4 s after that, if it returned as draining. Cause: the time at which a departure began was kept with the row of the entry, or for a minute after it, and a return as draining counted as its beginning. Change: a run that a node first sees as draining is not used, as its drain time may have begun long ago; no node needs it. A run that returns as draining while its row is still there keeps the end of the grace period that it had. The time of draining is no longer remembered with the servers that left. Evidence: TestServerThatReturnsAsDrainingIsNotUsed failed in three of five cases before (used 4.02 s, 5.02 s and 1m7.62s after the departure, at most 3 s) and TestGracePeriodDoesNotBeginAnewWhenServerReturnsAsDraining after 3.02 s; both pass.

--- /dev/null
+++ b/internal/direct/ctrl/departure_test.go
@@ -0,0 +1,102 @@
+package ctrl_test
+
+import (
+	"testing"
+	"time"
+)
+
+// checkUnusedAfterDrainTime runs for a time and checks that no node that the registry serves uses a
+// server later than its drain time after it left.
+func (f *fleet) checkUnusedAfterDrainTime(id string, left, d time.Duration) {
+	f.t.Helper()
+	for end := f.now + d; f.now < end && !f.t.Failed(); {
+		f.run(tickStep)
+		for _, n := range f.nodes {
+			v := n.publishedView.Load()
+			until := v.UsableUntilOf(id)
+			if !n.down && !n.registryCutOff && f.now-left > drainLimit && v.ServerIDs()[id] && (until == 0 || f.now < until) {
+				f.t.Errorf("%s uses the server %s after it left, want at most %s", n.self.Name(), f.now-left, drainLimit)
+				return
+			}
+		}
+	}
+}
+
+// Guards against a server that is used anew because its announcement returns as draining at a node
+// that does not know when the server began to leave: the drain time began before.
+func TestServerThatReturnsAsDrainingIsNotUsed(t *testing.T) {
+	for name, depart := range map[string]func(f *fleet){
+		"a node starts while the announcement is gone": func(f *fleet) {
+			f.announce("s1", true)
+			f.run(3600 * time.Millisecond)
+			f.withdraw("s1")
+			f.run(400 * time.Millisecond)
+			f.start("node-04", "b")
+			f.run(time.Second)
+		},
+		"a node starts while the server drains": func(f *fleet) {
+			f.announce("s1", true)
+			f.run(3 * time.Second)
+			f.start("node-04", "b")
+			f.run(600 * time.Millisecond)
+			f.withdraw("s1")
+			f.run(1400 * time.Millisecond)
+		},
+		"the announcement is gone for more than a minute": func(f *fleet) {
+			f.announce("s1", true)
+			f.run(3600 * time.Millisecond)
+			f.withdraw("s1")
+			f.run(61 * time.Second)
+			f.withdraw("s2") // its departure makes the nodes forget those of a minute ago
+			f.run(3 * time.Second)
+		},
+		"the announcement cannot be read for a moment": func(f *fleet) {
+			f.announce("s1", true)
+			f.run(2800 * time.Millisecond)
+			f.withdraw("s1")
+			f.run(400 * time.Millisecond)
+		},
+		"the server was ready before its announcement was gone": func(f *fleet) {
+			f.withdraw("s1")
+			f.run(4 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 13)
+			for _, id := range []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"} {
+				f.announce(id, false)
+			}
+			f.run(5 * time.Second)
+			left := f.now
+			depart(f)
+			f.announce("s1", true)
+			f.checkUnusedAfterDrainTime("s1", left, 4*time.Second)
+		})
+	}
+}
+
+// Guards against a departure whose grace period begins anew when the announcement, gone for part of
+// it, returns as draining.
+func TestGracePeriodDoesNotBeginAnewWhenServerReturnsAsDraining(t *testing.T) {
+	for gone := 200 * time.Millisecond; gone <= 3*time.Second; gone += 200 * time.Millisecond {
+		for _, lapsed := range []bool{false, true} {
+			f := newFleet(t, 13)
+			f.announce("s1", false)
+			f.announce("s2", false)
+			f.run(5 * time.Second)
+			if lapsed {
+				f.registryDown = true
+				f.run(4500 * time.Millisecond)
+				f.registryDown = false
+			}
+			f.withdraw("s1")
+			left := f.now
+			f.run(gone)
+			f.announce("s1", true)
+			f.checkUnusedAfterDrainTime("s1", left, 4*time.Second)
+			if t.Failed() {
+				t.Fatalf("the announcement returns as draining after %s, in an outage: %t", gone, lapsed)
+			}
+		}
+	}
+}
--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -96,7 +96,6 @@
 	row := s.Former().Ensure(replica.ID())
 	row.SetStartedMilli(replica.StartedMilli())
 	row.SetSequence(replica.Sequence())
-	row.SetDrainingAt(server.DrainingAt())
 	row.SetLeftAt(now)
 }
 
--- a/internal/direct/ctrl/ingest/replicas.go
+++ b/internal/direct/ctrl/ingest/replicas.go
@@ -48,33 +48,29 @@
 	row.SetAnnouncedAt(now)
 	returned := row.UnannouncedAt() > 0
 	row.SetUnannouncedAt(0)
-	if old.ID() == "" {
-		resumeDraining(s, row, now)
-	}
+	restarted := old.ID() != "" && old.StartedMilli() != replica.StartedMilli()
 	switch {
 	case !replica.Draining():
 		row.SetDrainingAt(0)
 		row.SetUsableUntil(0)
-	case row.DrainingAt() == 0 || (old.ID() != "" && old.StartedMilli() != replica.StartedMilli()):
+	case old.ID() == "" || restarted:
+		// The run may have begun to drain long ago, and its announcement may have lapsed since.
+		row.SetDrainingAt(now)
+		row.SetUsableUntil(now)
+	case row.DrainingAt() == 0:
+		lastUse := expire.LastUse(s, since, false, now)
+		if returned {
+			lastUse = min(lastUse, row.UsableUntil()) // it began to leave when its announcement was gone
+		}
 		row.SetDrainingAt(now)
-		row.SetUsableUntil(expire.LastUse(s, since, false, now))
+		row.SetUsableUntil(lastUse)
 	}
 	s.SetViewStale(true)
-	if returned || old.ID() == "" || old.Draining() != replica.Draining() || old.StartedMilli() != replica.StartedMilli() || (old.ColdDuration() == 0) != (replica.ColdDuration() == 0) {
+	if returned || old.ID() == "" || old.Draining() != replica.Draining() || restarted || (old.ColdDuration() == 0) != (replica.ColdDuration() == 0) {
 		s.Record("server_announced", replica.ID(), fmt.Sprintf("%s at %s in %s, draining %t, cold for %s, %s", replica.Service(), replica.Addr(), replica.Zone(), replica.Draining(), replica.ColdDuration(), epoch.Text(replica.Revision())))
 	}
 }
 
-// resumeDraining gives the row of a server that is announced again the time at which its run began to
-// drain, if it did before its announcement lapsed. That time is over.
-func resumeDraining(s *state.State, row *server.Row, now time.Duration) {
-	replica := row.Replica()
-	if known, ok := s.Former().Find(replica.ID()); ok && known.DrainingAt() > 0 && known.StartedMilli() == replica.StartedMilli() {
-		row.SetDrainingAt(known.DrainingAt())
-		row.SetUsableUntil(now)
-	}
-}
-
 // markUnannounced marks the servers whose announcements were removed. copied is set if they are
 // missing in the copy from which the registry goes on, and return soon.
 func markUnannounced(s *state.State, ids []string, copied bool, since, now time.Duration) {
--- a/internal/direct/former/accessors_gen.go
+++ b/internal/direct/former/accessors_gen.go
@@ -16,12 +16,6 @@
 // SetSequence sets how many reports it had made; 0 if it did not say so.
 func (v *Row) SetSequence(x uint64) { v.sequence = x }
 
-// DrainingAt returns when it was first announced as draining; 0 if it was not.
-func (v *Row) DrainingAt() time.Duration { return v.drainingAt }
-
-// SetDrainingAt sets when it was first announced as draining; 0 if it was not.
-func (v *Row) SetDrainingAt(x time.Duration) { v.drainingAt = x }
-
 // LeftAt returns when the node dropped the server.
 func (v *Row) LeftAt() time.Duration { return v.leftAt }
 
--- a/internal/direct/former/former.go
+++ b/internal/direct/former/former.go
@@ -1,5 +1,5 @@
 // Package former holds the servers that have left, by the run that did. A registry that goes on
-// from a copy may list them again, and so may a draining one whose announcement lapsed.
+// from a copy may list them again.
 //
 // # Usage
 //
@@ -15,6 +15,5 @@
 type Row struct {
 	startedMilli int64         // the start time of the run, in Unix milliseconds
 	sequence     uint64        // how many reports it had made; 0 if it did not say so
-	drainingAt   time.Duration // when it was first announced as draining; 0 if it was not
 	leftAt       time.Duration // when the node dropped the server
 }
