Take entries for lost in an outage only without a confirmation since

Where the store turns the hubs away for less than 2 s and one of four servers leaves meanwhile, nodes that it served all the while used the server for up to 4 s after it left. Cause: the hubs bring the news themselves once they are served again. Their calls have failed lately, and a quarter of the servers is missing, so the entry counted as lost in an outage of the store. Change: it counts as that only if the node itself had no confirmation for so long that any grace period after the last one is over. Nodes that the store serves have one within the drain time. An update pushed to a node whose first push is not confirmed yet has no known age at all.

--- a/internal/direct/ctrl/expire/expire.go
+++ b/internal/direct/ctrl/expire/expire.go
@@ -48,9 +48,11 @@
 
 // Lapsed reports whether the announcements that are missing were probably lost in an
 // outage of the registry. If the registry has turned away others, but not the node that brought the
-// news, nothing was lost.
-func Lapsed(s *state.State, newsFrom string, now time.Duration) bool {
-	if !Outage(s, newsFrom, now) {
+// news, nothing was lost. Nor was anything if the node had a confirmation since the outage began:
+// the nodes that the registry serves have one within the drain time. since is the time of that
+// confirmation, or 0 if it is not known.
+func Lapsed(s *state.State, newsFrom string, since, now time.Duration) bool {
+	if since == 0 || now < lastUseBy(s, since) || !Outage(s, newsFrom, now) {
 		return false
 	}
 	unannounced := 0
@@ -62,18 +64,22 @@
 	return float64(unannounced) >= lapsedServerShare*float64(s.Servers().Len())
 }
 
+// lastUseBy returns until when a server may get requests that has left at the given time.
+func lastUseBy(s *state.State, since time.Duration) time.Duration {
+	return since + cmp.Or(s.DrainTime(), defaultDrainTime) - drainMargin
+}
+
 // LastUse returns until when a server may get requests whose departure the node learns
 // of now. since is the earliest time at which the registry may have accepted it, or 0 if
 // that is not known. lapsed is set if the announcement was probably lost in an outage.
 func LastUse(s *state.State, since time.Duration, lapsed bool, now time.Duration) time.Duration {
-	drainTime := cmp.Or(s.DrainTime(), defaultDrainTime)
 	switch {
 	case lapsed:
 		return now + lapseGracePeriod
 	case since == 0:
 		return now
 	}
-	return min(now+gracePeriod, since+drainTime-drainMargin)
+	return min(now+gracePeriod, lastUseBy(s, since))
 }
 
 // Bounds on what is remembered of servers that have left.
--- a/internal/direct/ctrl/fleet_test.go
+++ b/internal/direct/ctrl/fleet_test.go
@@ -73,7 +73,8 @@
 	pending        []*pendingCall
 	mailbox        []any
 	down           bool
-	registryCutOff bool // the registry responds to none of its calls
+	registryCutOff bool          // the registry responds to none of its calls
+	servedAgainAt  time.Duration // when the registry served it again after it had turned it away
 	requestCount   atomic.Int64
 	hangingTopics  map[lagoon.Topic]bool // calls of these topics never get a response
 	announced      int                   // how often it has announced itself again
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -186,7 +186,11 @@
 	}
 	noteEra(s, row.Topic().String(), update.Revision(), now)
 	s.SetNewsFrom(m.From())
-	apply(s, update, row.ConfirmedAt(), now)
+	since := row.ConfirmedAt()
+	if row.UnconfirmedSince() > 0 {
+		since = 0 // a hub pushed the topic when the node started, and has not told its age yet
+	}
+	apply(s, update, since, now)
 	if update.Full() || update.Revision() >= row.GapRevision() {
 		row.SetGap(false)
 	}
--- a/internal/direct/ctrl/ingest/replicas.go
+++ b/internal/direct/ctrl/ingest/replicas.go
@@ -87,7 +87,7 @@
 		return
 	}
 	s.SetViewStale(true)
-	lapsed := copied || expire.Lapsed(s, s.NewsFrom(), now)
+	lapsed := copied || expire.Lapsed(s, s.NewsFrom(), since, now)
 	lastUse := expire.LastUse(s, since, lapsed, now)
 	for _, row := range marked {
 		if row.DrainingAt() == 0 {
