Do not leave registry calls to hubs that the registry turns away

Cause: 46 nodes are cut off from the store, the hubs among them, and so many that no others take their place. When the store's watches heard nothing for a moment, one call of each other node failed, and the nodes left their calls to these hubs for 6.4 s, although the store had served them all the while. Change: a node does so only unless one of its calls succeeded within that time while those of all live hubs were failing. Evidence: TestChangeIsInForceAfterOneFailedCallWhenHubsAreTurnedAway: 85 nodes late without the change, none with it. All tests of control pass.

--- a/internal/direct/ctrl/beats/elect.go
+++ b/internal/direct/ctrl/beats/elect.go
@@ -178,6 +178,15 @@
 // another node should become a hub.
 func CutOff(s *state.State, now time.Duration) bool { return callsFailingFor(s, now) >= cutOffAfter }
 
+// HubsTurnedAway reports whether a registry call of this node succeeded although those of every live
+// hub were failing: the registry is not down, but turns the hubs away.
+func HubsTurnedAway(s *state.State, now time.Duration) bool {
+	hubs := LiveHubs(s, now)
+	return len(hubs) > 0 && !slices.ContainsFunc(hubs, func(row *peers.Row) bool {
+		return row.CallsFailingFor() == 0 || s.CallSucceededAt() <= row.HeartbeatAt()-row.CallsFailingFor()
+	})
+}
+
 // callsFailingFor returns for how long this node's registry calls have failed.
 func callsFailingFor(s *state.State, now time.Duration) time.Duration {
 	if s.CallsFailingSince() == 0 {
--- a/internal/direct/ctrl/hubs_test.go
+++ b/internal/direct/ctrl/hubs_test.go
@@ -122,3 +122,28 @@
 		}
 	}
 }
+
+// Guards against nodes of a large fleet that leave the calls to hubs for longer than a change may
+// take, because one call of their own failed. The registry turns a third of the nodes away, among
+// them all that would be hubs, and drops its history: watches hear nothing for a second, in which a
+// change is made.
+func TestChangeIsInForceAfterOneFailedCallWhenHubsAreTurnedAway(t *testing.T) {
+	for before := 4 * time.Second; before <= 8*time.Second; before += 2 * time.Second {
+		f := newFleet(t, 131)
+		f.run(5 * time.Second)
+		for _, n := range f.nodes[:46] {
+			n.registryCutOff = true
+		}
+		f.run(before)
+		f.watchesHang = true
+		f.run(100 * time.Millisecond)
+		f.changeCatalog()
+		f.run(900 * time.Millisecond)
+		f.watchesHang, f.compactedRevision = false, f.revision
+		f.run(recoveryLimit)
+		f.checkInForce("turned away " + before.String() + " before")
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/internal/direct/ctrl/ingest/ingest.go
+++ b/internal/direct/ctrl/ingest/ingest.go
@@ -119,6 +119,7 @@
 	row.SetConfirmedAt(now)
 	row.SetUnconfirmedSince(0)
 	s.SetCallsFailingSince(0)
+	s.SetCallSucceededAt(now)
 	if !s.RegistryReachable() {
 		s.SetRegistryReachable(true)
 		s.SetViewStale(true)
--- a/internal/direct/ctrl/pull/pull.go
+++ b/internal/direct/ctrl/pull/pull.go
@@ -172,12 +172,17 @@
 
 // backingOff reports whether this node refrains from calling a registry that did
 // not respond, as the hubs probe the registry. It calls for a change that it knows to be missing
-// once a hub has told that the registry answers, because no push may bring that change.
+// once a hub has told that the registry answers, because no push may bring that change. Nor does it
+// leave the calls to hubs that the registry turns away while it has served this node lately.
 func backingOff(s *state.State, row *topics.Row, hasHub bool, now time.Duration) bool {
 	if !hasHub || s.Hub() || s.CallsFailingSince() == 0 || (row.Gap() && s.RegistryReachable()) {
 		return false
 	}
-	return now-s.LastCallFailedAt() < time.Duration(s.Peers().Len()/paceNodes)*ingest.MaxRetryDelay
+	pace := time.Duration(s.Peers().Len()/paceNodes) * ingest.MaxRetryDelay
+	if now-s.CallSucceededAt() < pace && beats.HubsTurnedAway(s, now) {
+		return false
+	}
+	return now-s.LastCallFailedAt() < pace
 }
 
 // recheckDue reports whether a node whose registry calls failed should try again,
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -176,6 +176,12 @@
 // SetElectedAt sets when the hubs were last elected.
 func (v *State) SetElectedAt(x time.Duration) { v.electedAt = x }
 
+// CallSucceededAt returns when one of this node's registry calls last succeeded; 0 for never.
+func (v *State) CallSucceededAt() time.Duration { return v.callSucceededAt }
+
+// SetCallSucceededAt sets when one of this node's registry calls last succeeded; 0 for never.
+func (v *State) SetCallSucceededAt(x time.Duration) { v.callSucceededAt = x }
+
 // LastCallFailedAt returns when one of this node's registry calls last failed.
 func (v *State) LastCallFailedAt() time.Duration { return v.lastCallFailedAt }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -72,6 +72,7 @@
 	rosterKnown       bool                                                                                    // whether a hub has listed the live nodes, or would have done so by now
 	membersReadAt     time.Duration                                                                           // when the full list of members was first received; 0 before
 	electedAt         time.Duration                                                                           // when the hubs were last elected
+	callSucceededAt   time.Duration                                                                           // when one of this node's registry calls last succeeded; 0 for never
 	lastCallFailedAt  time.Duration                                                                           // when one of this node's registry calls last failed
 	announceWait      time.Duration                                                                           // how long after its start the node waits for other nodes' announcements
 	drainTime         time.Duration                                                                           // for which a server serves after the registry accepted that it leaves; 0 means the default
