Count nodes beyond a cut for the rate of cold servers

Cause: after 20 s without a sign of a node its part of all limits returns to the others, on both sides of the cut. A server is cold for seconds, so what a failed node leaves unused is little; other limits are shared as before.

--- a/internal/direct/ctrl/beats/beats.go
+++ b/internal/direct/ctrl/beats/beats.go
@@ -70,6 +70,10 @@
 			s.SetShareDivisor(n)
 			s.SetViewStale(true)
 		}
+		if n := coldDivisor(s, now); math.Abs(n-s.ColdDivisor()) > shareDivisorStep*s.ColdDivisor() {
+			s.SetColdDivisor(n)
+			s.SetViewStale(true)
+		}
 	}
 	if now-s.HeartbeatsSentAt() >= interval(s) {
 		updateRequestRate(s, now-s.HeartbeatsSentAt())
@@ -274,10 +278,15 @@
 // mayBeRunning reports whether a node announced itself, sent a heartbeat or counted
 // as live within forgetTimeout.
 func mayBeRunning(row *peers.Row, now time.Duration) bool {
-	last := max(row.KnownAt(), row.HeartbeatAt(), row.LiveAt())
+	last := lastSign(row)
 	return last > 0 && now-last < forgetTimeout
 }
 
+// lastSign returns when a node last announced itself, sent a heartbeat or counted as live.
+func lastSign(row *peers.Row) time.Duration {
+	return max(row.KnownAt(), row.HeartbeatAt(), row.LiveAt())
+}
+
 // send sends heartbeats: a hub to every node, any other node to the hubs.
 func send(s *state.State, now time.Duration) {
 	heartbeat := &lagoon.Heartbeat{}
--- a/internal/direct/ctrl/beats/share.go
+++ b/internal/direct/ctrl/beats/share.go
@@ -56,6 +56,24 @@
 	return n
 }
 
+// coldDivisor returns the number by which this node divides the rate of a cold server to get its
+// share. A part of the fleet that is cut off from the others still counts them, as both parts reach
+// the server, which crashes above its rate. A node that has failed takes its share along for that
+// time, which a server that is cold for seconds does not miss.
+func coldDivisor(s *state.State, now time.Duration) float64 {
+	counted, known := 1, 1
+	for i := range s.Peers().Len() {
+		row := s.Peers().At(i)
+		if mayBeRunning(row, now) {
+			counted++
+		}
+		if mayBeRunning(row, now) || (!row.Stopping() && now-lastSign(row) < isolationTimeout) {
+			known++
+		}
+	}
+	return s.ShareDivisor() * float64(known) / float64(counted)
+}
+
 // isolated reports whether this node has heard no other node for NodeTimeout, but did so
 // within isolationTimeout. The others may still be running and using their shares.
 func isolated(s *state.State, now time.Duration) bool {
--- a/internal/direct/ctrl/isolate_test.go
+++ b/internal/direct/ctrl/isolate_test.go
@@ -47,3 +47,35 @@
 		t.Errorf("share divisor: got %.1f, want %.1f", got, want)
 	}
 }
+
+// Guards against two parts of a fleet that do not hear each other for minutes and use the whole rate
+// of a cold server each, which crashes, and against nodes that start meanwhile.
+func TestPartsThatAreCutOffShareRateOfColdServers(t *testing.T) {
+	for _, size := range []int{4, 13, 30} {
+		f := newFleet(t, size)
+		f.run(5 * time.Second)
+		part := map[string]bool{}
+		for i, n := range f.nodes {
+			part[n.self.Name()] = i%2 == 0
+		}
+		f.dropMessage = func(from, to *node) bool { return part[from.self.Name()] != part[to.self.Name()] }
+		for round := range 9 {
+			if round == 4 {
+				f.start("node-01", "b")
+			}
+			f.run(10 * time.Second)
+			sum := 0.0
+			for _, n := range f.nodes {
+				sum += 1 / n.publishedView.Load().ColdDivisor()
+			}
+			if sum > 1.2 { // the platform's bound leaves more than that
+				t.Fatalf("%d nodes, sum of the shares %s after the cut: got %.2f, want at most 1", size, 10*time.Second*time.Duration(round+1), sum)
+			}
+		}
+		f.dropMessage = nil
+		f.run(5 * time.Second)
+		if got, want := f.nodes[0].publishedView.Load().ColdDivisor(), f.nodes[0].publishedView.Load().ShareDivisor(); got > 1.1*want {
+			t.Errorf("%d nodes, divisor after the cut: got %.1f, want %.1f", size, got, want)
+		}
+	}
+}
--- a/internal/direct/ctrl/publsh/publsh.go
+++ b/internal/direct/ctrl/publsh/publsh.go
@@ -148,4 +148,5 @@
 	}
 	v.SetMembers(members)
 	v.SetShareDivisor(max(s.ShareDivisor(), 1))
+	v.SetColdDivisor(max(s.ColdDivisor(), 1))
 }
--- a/internal/direct/state/accessors_gen.go
+++ b/internal/direct/state/accessors_gen.go
@@ -134,6 +134,12 @@
 // SetShareDivisor sets the divisor of the servers' limits that gives this node's share, as last published.
 func (v *State) SetShareDivisor(x float64) { v.shareDivisor = x }
 
+// ColdDivisor returns the divisor of the rate of a cold server that gives this node's share, as last published.
+func (v *State) ColdDivisor() float64 { return v.coldDivisor }
+
+// SetColdDivisor sets the divisor of the rate of a cold server that gives this node's share, as last published.
+func (v *State) SetColdDivisor(x float64) { v.coldDivisor = x }
+
 // Era returns the latest era of the registry's revisions that this node knows of.
 func (v *State) Era() uint64 { return v.era }
 
--- a/internal/direct/state/state.go
+++ b/internal/direct/state/state.go
@@ -65,6 +65,7 @@
 	lastRequestCount  int64                                                                                   // the value of RequestCount when the request rate was last updated
 	requestRate       float64                                                                                 // the requests per second that this node receives
 	shareDivisor      float64                                                                                 // the divisor of the servers' limits that gives this node's share, as last published
+	coldDivisor       float64                                                                                 // the divisor of the rate of a cold server that gives this node's share, as last published
 	era               uint64                                                                                  // the latest era of the registry's revisions that this node knows of
 	restoredAt        time.Duration                                                                           // when this node learned that the registry was restored from a copy; 0 for never
 	hub               bool                                                                                    // whether this node watches the registry on behalf of others
--- a/internal/direct/trfc/choose/choose.go
+++ b/internal/direct/trfc/choose/choose.go
@@ -252,7 +252,8 @@
 	if pool.ColdPerSecond() == 0 || l.View().ColdUntilOf(r.ID()) <= now {
 		return
 	}
-	interval := time.Duration(float64(time.Second) * max(l.View().ShareDivisor(), 1) / pool.ColdPerSecond())
+	divisor := max(l.View().ShareDivisor(), l.View().ColdDivisor(), 1)
+	interval := time.Duration(float64(time.Second) * divisor / pool.ColdPerSecond())
 	h.SetNextColdAttempt(max(now, h.NextColdAttempt()) + interval)
 }
 
--- a/internal/direct/view/accessors_gen.go
+++ b/internal/direct/view/accessors_gen.go
@@ -61,6 +61,12 @@
 // SetMembers sets the live nodes that accept requests, including this one.
 func (v *View) SetMembers(x []lagoon.Member) { v.members = x }
 
+// ColdDivisor returns the divisor of the rate of a cold server; 0 for that of the other limits.
+func (v *View) ColdDivisor() float64 { return v.coldDivisor }
+
+// SetColdDivisor sets the divisor of the rate of a cold server; 0 for that of the other limits.
+func (v *View) SetColdDivisor(x float64) { v.coldDivisor = x }
+
 // ShareDivisor returns the divisor of the servers' limits that gives this node's share, at least 1.
 func (v *View) ShareDivisor() float64 { return v.shareDivisor }
 
--- a/internal/direct/view/view.go
+++ b/internal/direct/view/view.go
@@ -34,6 +34,7 @@
 	coldUntil         map[string]time.Duration    // the end of the cold phase of each cold server
 	usableUntil       map[string]time.Duration    // until when each server that is leaving may be used
 	members           []lagoon.Member             // the live nodes that accept requests, including this one
+	coldDivisor       float64                     // the divisor of the rate of a cold server; 0 for that of the other limits
 	shareDivisor      float64                     // the divisor of the servers' limits that gives this node's share, at least 1
 	synced            bool                        // whether the catalog and the list of servers have been received
 	registryReachable bool                        // whether the registry responds
