Count announced nodes that were never heard for as long as others

Cause: a node that was never heard counted for 20 s only, so that the node then granted the whole quota, and the other region as well. Change: it counts for 10 minutes, as one that was heard before.

--- a/internal/direct/ctrl/grant/weight.go
+++ b/internal/direct/ctrl/grant/weight.go
@@ -14,7 +14,6 @@
 const (
 	rememberTime = 10 * time.Minute                         // for which the traffic of an announced node that is not heard counts; it may be running beyond a broken link, and links are broken for minutes
 	shareTime    = rememberTime - 2*beats.HeartbeatInterval // for which a node uses its share if no hub assigns it again; ends before the hubs forget the node
-	startingTime = 20 * time.Second                         // for which an announced node counts that was not heard yet
 	forgetStop   = 5 * time.Second                          // for which the traffic of a node that stops counts after its last heartbeat
 	newHubTime   = 2 * time.Second                          // for which a new hub has not heard all nodes yet; spans several heartbeats
 	priorRate    = 0.1                                      // requests per second of a node that callers are referred to, before rates are known
@@ -49,11 +48,12 @@
 	return at > 0 && now-at < heardTimeout
 }
 
-// mayRun reports whether a node that is not heard may be running.
+// mayRun reports whether a node that is not heard may be running. One that was never heard since
+// this node started may have been running beyond a broken link all the while.
 func mayRun(row *peers.Row, now time.Duration) bool {
 	at := max(row.HeartbeatAt(), row.AskedAt(), row.LiveAt())
 	if at == 0 {
-		return now-row.KnownAt() < startingTime
+		return now-row.KnownAt() < rememberTime
 	}
 	if row.Stopping() {
 		return now-at < forgetStop
--- a/internal/direct/ctrl/quota_failure_test.go
+++ b/internal/direct/ctrl/quota_failure_test.go
@@ -334,3 +334,17 @@
 		t.Errorf("got a share of %.3f after 10 min unheard, want none", got)
 	}
 }
+
+// TestQuotaWhenNodeRestartsBeyondCut guards against a node that starts anew while its region is cut
+// off, has never heard the nodes beyond the cut, and grants their part of the quota as well.
+func TestQuotaWhenNodeRestartsBeyondCut(t *testing.T) {
+	c := newCrowd(t, 4, 4, 3, 60)
+	c.overload(4)
+	c.run(8 * time.Second)
+	north := map[string]bool{c.fronts[0].self.Name(): true}
+	c.dropMessage = func(from, to *node) bool { return north[from.self.Name()] != north[to.self.Name()] }
+	c.run(2 * time.Second)
+	c.fronts[0] = c.startFront(c.fronts[0].self.Name(), c.fronts[0].self.Zone())
+	c.run(40 * time.Second)
+	c.checkBound("a node restarted beyond a cut")
+}
