Keep the same ends of servers at all nodes, and none that are older than an answer

What callers saw: nothing; found by reading. Nodes that knew different ones of more than eight ends would have told each other of them for a minute, ten times a second, and an innocent request would have become a suspect again by what other nodes told of the time before its answer. Cause: to make room for an end, another one was dropped, whichever of them was newer; and an answer had no time. Change: a record keeps the first and the last ends, in whatever order it learns of them; an end older than the last answer of its service is not news. Evidence: TestRecordsOfNodesConverge and TestEndsAfterAnAnswerCount fail without the change. Measured: the tests of the decision, of traffic and of control for deadly requests pass.

--- a/internal/direct/trfc/blame/blame.go
+++ b/internal/direct/trfc/blame/blame.go
@@ -101,7 +101,7 @@
 	}
 	if answered {
 		if row, ok := l.Cases().Find(fingerprint); ok {
-			row.RecordRef().Answer(attempt.Service())
+			row.RecordRef().Answer(attempt.Service(), now)
 		}
 		return
 	}
@@ -129,7 +129,9 @@
 	verdict := row.RecordRef().Overall(now)
 	if verdict != row.Told() {
 		row.SetTold(verdict)
-		l.Record("request_"+verdict.String(), strconv.Quote(fingerprint), "", describe(row, now))
+		if verdict != lagoon.VerdictNone {
+			l.Record("request_"+verdict.String(), strconv.Quote(fingerprint), "", describe(row, now))
+		}
 	}
 	if verdict != lagoon.VerdictDeadly {
 		return
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -48,7 +48,13 @@
 // Record is what is known of one request. The zero value is a request without evidence.
 type Record struct {
 	ends     []lagoon.ServerEnd
-	answered []string // the services that answered it, and of which no server ended since
+	answered []answer // the services that answered it, and of which no server ended since
+}
+
+// answer is the last answer of a service.
+type answer struct {
+	service string
+	at      time.Duration
 }
 
 // Ends returns the ends of servers that count against the request, oldest first.
@@ -62,7 +68,10 @@
 	return r.ends[len(r.ends)-1].EndedAt()
 }
 
-// End adds the end of a server run that had the request. It reports whether that is news.
+// End adds the end of a server run that had the request. It reports whether that is news. One that
+// is older than an answer of its service is not, nor is one for which there is no room: those that
+// are kept do not depend on the order in which nodes learn of them, so that nodes that tell each
+// other come to an end.
 func (r *Record) End(e lagoon.ServerEnd) bool {
 	for i := range r.ends {
 		if known := &r.ends[i]; known.Server() == e.Server() && known.StartedMilli() == e.StartedMilli() {
@@ -71,12 +80,19 @@
 			return news
 		}
 	}
-	r.answered = slices.DeleteFunc(r.answered, func(service string) bool { return service == e.Service() })
-	if len(r.ends) >= maxEnds {
-		r.ends = slices.Delete(r.ends, 1, 2) // the first and the last ones are those of different moments
+	if slices.ContainsFunc(r.answered, func(a answer) bool { return a.service == e.Service() && a.at >= e.EndedAt() }) {
+		return false
 	}
 	r.ends = append(r.ends, e)
 	slices.SortStableFunc(r.ends, func(a, b lagoon.ServerEnd) int { return cmp.Compare(a.EndedAt(), b.EndedAt()) })
+	if len(r.ends) > maxEnds {
+		dropped := r.ends[1] // the first and the last ones are those of different moments
+		r.ends = slices.Delete(r.ends, 1, 2)
+		if dropped.Server() == e.Server() && dropped.StartedMilli() == e.StartedMilli() {
+			return false
+		}
+	}
+	r.answered = slices.DeleteFunc(r.answered, func(a answer) bool { return a.service == e.Service() })
 	return true
 }
 
@@ -94,9 +110,12 @@
 
 // Answer notes that a server of a service answered the request and runs on. What ended before
 // under the request in this service ended for another reason.
-func (r *Record) Answer(service string) {
-	if !slices.Contains(r.answered, service) && len(r.answered) < maxAnswered {
-		r.answered = append(r.answered, service)
+func (r *Record) Answer(service string, now time.Duration) {
+	switch i := slices.IndexFunc(r.answered, func(a answer) bool { return a.service == service }); {
+	case i >= 0:
+		r.answered[i].at = now
+	case len(r.answered) < maxAnswered:
+		r.answered = append(r.answered, answer{service, now})
 	}
 	r.ends = slices.DeleteFunc(r.ends, func(e lagoon.ServerEnd) bool { return e.Service() == service })
 }
@@ -106,7 +125,7 @@
 
 // Verdict returns what is known of the request at the servers of a service.
 func (r *Record) Verdict(service string, now time.Duration) lagoon.Verdict {
-	if slices.Contains(r.answered, service) {
+	if slices.ContainsFunc(r.answered, func(a answer) bool { return a.service == service }) {
 		return lagoon.VerdictNone
 	}
 	return r.verdict(now, func(e *lagoon.ServerEnd) bool { return !r.Answered() || e.Service() == service })
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -46,7 +46,7 @@
 				r.End(e)
 			}
 			if c.answered != "" {
-				r.Answer(c.answered)
+				r.Answer(c.answered, 100*time.Millisecond)
 			}
 			if got := r.Verdict("a", time.Second); got != c.want {
 				t.Errorf("verdict: got %s, want %s", got, c.want)
@@ -107,7 +107,7 @@
 		t.Errorf("verdict after two moments: got %s, want %s", got, want)
 	}
 	for i := range 1000 {
-		r.Answer(fmt.Sprint("service ", i))
+		r.Answer(fmt.Sprint("service ", i), time.Second)
 	}
 	if got := r.Answered(); !got {
 		t.Errorf("answered: got %t, want true", got)
@@ -118,7 +118,10 @@
 func TestEndsAfterAnAnswerCount(t *testing.T) {
 	var r crash.Record
 	r.End(end("a", "1", 0, 10, false))
-	r.Answer("a")
+	r.Answer("a", 20*time.Millisecond)
+	if got := r.End(end("a", "2", 0, 15, false)); got {
+		t.Errorf("end before the answer is news: got %t, want false", got)
+	}
 	for i := range 3 {
 		r.End(end("a", fmt.Sprint("later", i), 100+20*i, 110+20*i, false))
 	}
@@ -126,3 +129,32 @@
 		t.Errorf("verdict: got %s, want %s", got, want)
 	}
 }
+
+// Guards against nodes that tell each other of the same ends for ever, because each of them keeps
+// others.
+func TestRecordsOfNodesConverge(t *testing.T) {
+	var a, b crash.Record
+	for i := range 12 {
+		e := end("s", fmt.Sprint(i), 10*i, 10*i+5, false)
+		if i%2 == 0 {
+			a.End(e)
+		} else {
+			b.End(e)
+		}
+	}
+	for round := range 4 {
+		news := false
+		for _, e := range a.Ends() {
+			news = b.End(e) || news
+		}
+		for _, e := range b.Ends() {
+			news = a.End(e) || news
+		}
+		if !news {
+			return
+		}
+		if round == 3 {
+			t.Errorf("news after %d rounds: got %v and %v, want none", round+1, a.Ends(), b.Ends())
+		}
+	}
+}
