Blame a request only for what ends once other servers have settled

Cause: the servers that a deadly request reached end one after the other within a tenth of a second, and take along what was repeated at them, so that innocent requests lost attempts at several moments. And a message to other nodes shared its list of ends with the record, which cleared them: empty ends counted as further servers, long ago. Change: a suspect under which two servers have ended is tried again only once none has ended for 0.1 s, and two moments are that far apart. Of the suspects of one time the one with the most ends is blamed, and what ended while it was tried no longer counts against the others. A request that is blamed stays so when its servers turn out to have had others too. Messages have a list of their own.

--- a/internal/direct/cases/cases.go
+++ b/internal/direct/cases/cases.go
@@ -10,6 +10,7 @@
 package cases
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoontrail/lagoon"
@@ -67,6 +68,9 @@
 func Merge(table *rows.Table[Row], c lagoon.RequestCase, now time.Duration) bool {
 	news := false
 	for _, end := range c.Ends() {
+		if end.Server() == "" {
+			continue // no node sends that
+		}
 		end.SetSentAt(now - (c.Now() - end.SentAt()))
 		end.SetEndedAt(now - (c.Now() - end.EndedAt()))
 		news = End(table, c.Fingerprint(), end, now) || news
@@ -74,12 +78,37 @@
 	return news
 }
 
+// Judge decides whether a request is blamed for the ends of servers, and takes these from the evidence
+// against others if it is.
+func Judge(table *rows.Table[Row], fingerprint string) {
+	row, ok := table.Find(fingerprint)
+	if !ok {
+		return
+	}
+	if row.record.Sufficient() && !row.record.Convicted() {
+		for i := range table.Len() {
+			if table.Key(i) != fingerprint && table.At(i).record.Outweighs(&row.record) {
+				return
+			}
+		}
+		row.record.Convict()
+	}
+	if !row.record.Convicted() {
+		return
+	}
+	for i := range table.Len() {
+		if table.Key(i) != fingerprint {
+			table.At(i).record.Explain(&row.record)
+		}
+	}
+}
+
 // CaseOf returns what others are told of a request.
 func CaseOf(fingerprint string, row *Row, now time.Duration) lagoon.RequestCase {
 	var c lagoon.RequestCase
 	c.SetFingerprint(fingerprint)
 	c.SetNow(now)
-	c.SetEnds(row.record.Ends())
+	c.SetEnds(slices.Clone(row.record.Ends())) // the record changes while the message is on its way
 	return c
 }
 
--- a/internal/direct/cases/cases_test.go
+++ b/internal/direct/cases/cases_test.go
@@ -64,3 +64,29 @@
 		t.Errorf("merge again is news: got %t, want false", got)
 	}
 }
+
+// Guards against a message that changes while it is on its way, because the evidence does: its ends
+// became empty ones, which counted as further servers.
+func TestCaseThatIsToldDoesNotChange(t *testing.T) {
+	var table rows.Table[cases.Row]
+	for i := range 3 {
+		cases.End(&table, "request", end(fmt.Sprint("s", i), time.Duration(i)*time.Second), 3*time.Second)
+	}
+	row, _ := table.Find("request")
+	c := cases.CaseOf("request", row, 3*time.Second)
+	row.RecordRef().Answer("desk", 4*time.Second)
+	if got, want := len(c.Ends()), 3; got != want {
+		t.Fatalf("ends: got %d, want %d", got, want)
+	}
+	for _, e := range c.Ends() {
+		if e.Server() == "" {
+			t.Errorf("got an empty end in %v, want the ends that were told", c.Ends())
+		}
+	}
+	var empty lagoon.RequestCase
+	empty.SetFingerprint("other")
+	empty.SetEnds(make([]lagoon.ServerEnd, 3))
+	if got := cases.Merge(&table, empty, time.Second); got {
+		t.Errorf("empty ends are news: got %t, want false", got)
+	}
+}
--- a/internal/direct/ctrl/warn/warn.go
+++ b/internal/direct/ctrl/warn/warn.go
@@ -28,7 +28,7 @@
 	// startTime is how long after a node became known hubs tell it all cases.
 	startTime = 3 * time.Second
 	// maxTold is the number of cases that a heartbeat carries at most, so that its size is bounded.
-	maxTold = 32
+	maxTold = 16
 	// earlyInterval is the time between two heartbeats that are sent early. A large hub takes a
 	// part of it to send one to every node.
 	earlyInterval = 100 * time.Millisecond
--- a/internal/direct/ctrl/warn_test.go
+++ b/internal/direct/ctrl/warn_test.go
@@ -115,7 +115,7 @@
 		f.nodes[i%13].mailbox = append(f.nodes[i%13].mailbox, caseOf(fmt.Sprint("request ", i), f.now, "s1", "s2"))
 		f.run(20 * time.Millisecond)
 	}
-	if limit := 32; most > limit {
+	if limit := 16; most > limit {
 		t.Errorf("cases in a heartbeat: got %d, want at most %d", most, limit)
 	}
 	if got, limit := heartbeats, 2*usual*6; got > limit { // ten early ones a second, besides two regular ones
--- a/internal/direct/trfc/blame/blame.go
+++ b/internal/direct/trfc/blame/blame.go
@@ -68,7 +68,7 @@
 	if len(report.Cases()) > 0 && l.TellControl() != nil {
 		l.TellControl()(report) // a later end tells all of it again if the mailbox is full
 	}
-	for _, fingerprint := range s.changed {
+	for _, fingerprint := range s.changed { // all evidence of the tick is there
 		judge(l, fingerprint, now)
 	}
 	if l.Cases().Len() > 0 && now-s.sweptAt >= sweepInterval {
@@ -126,6 +126,7 @@
 	if !ok {
 		return
 	}
+	cases.Judge(l.Cases(), fingerprint)
 	verdict := row.RecordRef().Overall(now)
 	if verdict != row.Told() {
 		row.SetTold(verdict)
@@ -211,8 +212,8 @@
 	return row.RecordRef().Verdict(service, now)
 }
 
-// Hold reports whether an attempt of a suspect waits for one that is in flight: for any of the
-// request, and if some service has answered it, for one at the same service.
+// Hold reports whether an attempt of a suspect waits: for one that is in flight, of any shard or, if
+// some service has answered the request, of the same one; and for servers that others are about to end.
 func Hold(l *loop.Loop, req *reqs.Row, shard *shards.Row, now time.Duration) bool {
 	row, ok := Find(l, req)
 	if !ok || row.RecordRef().Verdict(shard.Service(), now) != lagoon.VerdictSuspect {
@@ -221,6 +222,9 @@
 	if row.RecordRef().Answered() {
 		return shard.Inflight() > 0
 	}
+	if now < row.RecordRef().NextTry() {
+		return true
+	}
 	return slices.ContainsFunc(req.Shards(), func(id lagoon.RowID) bool {
 		other, ok := l.Shards().Resolve(id)
 		return ok && other.Inflight() > 0
--- a/internal/direct/trfc/deadly_test.go
+++ b/internal/direct/trfc/deadly_test.go
@@ -21,6 +21,7 @@
 type query struct {
 	text        string
 	deadly      func(service string) bool // whether it ends the servers of a service; nil for none
+	spread      time.Duration             // by which its servers end later, at random
 	fingerprint *int                      // counts how often its fingerprint was computed; nil does not
 }
 
@@ -36,7 +37,7 @@
 func endsServer(s *sim, srv *server, j *job) {
 	if q, ok := j.payload.(query); ok && q.deadly != nil && q.deadly(srv.replica.Service()) {
 		run := srv.ends
-		s.schedule(crashTime, func() {
+		s.schedule(crashTime+time.Duration(s.rng.Float64()*float64(q.spread)), func() {
 			if srv.ends == run {
 				srv.endings++
 				s.end(srv)
@@ -74,6 +75,7 @@
 	*shared
 	deadly []*request // the deadly ones
 	others []*request // the last ones of the callers of others
+	spread time.Duration
 }
 
 // newOutbreak returns nodes that share the servers of a route, and tell each other what they learn.
@@ -115,7 +117,7 @@
 		n++
 		q := query{text: fmt.Sprint("other ", n)}
 		if rng.Float64() < share {
-			q = query{text: "deadly", deadly: deadly}
+			q = query{text: "deadly", deadly: deadly, spread: o.spread}
 		}
 		o.send(q, 1)
 		o.schedule(o.nodes[0].gap(perSecond), next)
@@ -250,6 +252,25 @@
 	}
 }
 
+// Guards against requests that are taken for deadly because they ran beside one that is: while its
+// servers end one after the other, those beside it lose attempt after attempt.
+func TestRequestsBesideDeadlyOneAreNotBlamed(t *testing.T) {
+	for seed := range uint64(20) {
+		o := newOutbreak(t, 17, 10, seed+1, gatherRoute)
+		o.spread = 100 * time.Millisecond
+		o.run(100, 0, time.Second, nil)
+		o.run(200, 0.04, 2*time.Second, everywhere)
+		for _, s := range o.nodes {
+			for i := range s.loop.Cases().Len() {
+				verdict := s.loop.Cases().At(i).RecordRef().Overall(o.now)
+				if fingerprint := s.loop.Cases().Key(i); fingerprint != "deadly" && verdict == lagoon.VerdictDeadly {
+					t.Errorf("seed %d: %q: got %s, want it not blamed", seed+1, fingerprint, verdict)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a request that ends the servers of one shard, and whose callers get nothing of the
 // others: it is answered without that shard.
 func TestDeadlyRequestForOneServiceIsAnsweredWithout(t *testing.T) {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -5,14 +5,18 @@
 //	var r crash.Record
 //	r.End(end)                        // a server ended while it had the request
 //	r.Answer(service, now)            // a server answered it
+//	if r.Sufficient() && !other.Outweighs(&r) { r.Convict() }
 //	if r.Verdict(service, now) == lagoon.VerdictDeadly { reject(r.HeldFor(now)) }
 //
 // The load pattern: a request that crashes each server that runs it comes again and again, at
 // many nodes, among requests that look alike and run beside it. When a server ends, every request
 // that it had is a suspect, and so it is when an availability zone loses its power. So a request is
 // blamed only for what several servers show, one after the other: three server runs ended under it,
-// at two moments at least, one of them under no other suspect, and none answered it since. The
-// callers need the servers more than one answer, so a suspect is tried at one server at a time.
+// at two moments at least, one of them under no other suspect, and none answered it since. As the
+// servers of a deadly request end one after the other, those beside it may lose several attempts as
+// well: of the suspects of one time the one under which most servers ended is blamed, and what ended
+// while it was tried no longer counts against the others. The callers need the servers more than one
+// answer, so a suspect is tried at one server at a time.
 //
 // A request for many shards may end the servers of some services only. It is blamed for the
 // services that did not answer it since. The caller supplies the time, and all state is bounded.
@@ -39,16 +43,29 @@
 	suspectTime = time.Minute      // after the last end for which any other request remains a suspect
 )
 
+// settleTime is the time after the end of a server in which others may end that already have the
+// same request.
+const settleTime = 100 * time.Millisecond
+
+// manyEnds is the number of server runs from which a suspect waits for others to settle. The requests
+// of one server that crashes are repeated at once.
+const manyEnds = 2
+
+// rivalTime is the time between two ends that may have one cause. A server ends within a tenth of a
+// second after it began to run a deadly request, and may have had it in its queue for as long.
+const rivalTime = 250 * time.Millisecond
+
 // Bounds of a record.
 const (
-	maxEnds     = 8  // server runs; more show nothing new
+	maxEnds     = 16 // server runs; more show nothing new
 	maxAnswered = 64 // services
 )
 
 // Record is what is known of one request. The zero value is a request without evidence.
 type Record struct {
-	ends     []lagoon.ServerEnd
-	answered []answer // the services that answered it, and of which no server ended since
+	ends      []lagoon.ServerEnd
+	answered  []answer // the services that answered it, and of which no server ended since
+	convicted bool     // whether the request is blamed for the ends
 }
 
 // answer is the last answer of a service.
@@ -117,7 +134,58 @@
 	case len(r.answered) < maxAnswered:
 		r.answered = append(r.answered, answer{service, now})
 	}
-	r.ends = slices.DeleteFunc(r.ends, func(e lagoon.ServerEnd) bool { return e.Service() == service })
+	r.drop(func(e lagoon.ServerEnd) bool { return e.Service() == service })
+}
+
+// drop removes ends that do not count any more.
+func (r *Record) drop(obsolete func(e lagoon.ServerEnd) bool) {
+	r.ends = slices.DeleteFunc(r.ends, obsolete)
+	r.convicted = r.convicted && len(r.ends) > 0
+}
+
+// Sufficient reports whether the ends are enough to blame the request, unless another one is the
+// likelier cause.
+func (r *Record) Sufficient() bool {
+	if !r.Answered() {
+		return convicting(r.ends)
+	}
+	return slices.ContainsFunc(r.ends, func(e lagoon.ServerEnd) bool { return convicting(r.endsOf(e.Service())) })
+}
+
+// Outweighs reports whether this request is a likelier cause of what ended under another one: more
+// servers ended under it at the same time, and it is not blamed yet.
+func (r *Record) Outweighs(other *Record) bool {
+	if r.convicted || len(r.ends) <= len(other.ends) || len(other.ends) == 0 {
+		return false
+	}
+	return r.ends[0].SentAt() <= other.LastEnd() && r.LastEnd() >= other.ends[0].SentAt()-rivalTime
+}
+
+// Convict blames the request for the ends.
+func (r *Record) Convict() { r.convicted = true }
+
+// Convicted reports whether the request is blamed.
+func (r *Record) Convicted() bool { return r.convicted }
+
+// Explain removes the ends that have another request as their cause, which is blamed: what ended
+// while it was tried.
+func (r *Record) Explain(cause *Record) {
+	if len(cause.ends) == 0 {
+		return
+	}
+	from, to := cause.ends[0].SentAt(), cause.LastEnd()+rivalTime
+	r.drop(func(e lagoon.ServerEnd) bool { return !r.convicted && e.EndedAt() >= from && e.EndedAt() <= to })
+}
+
+// endsOf returns the ends of servers of one service.
+func (r *Record) endsOf(service string) []lagoon.ServerEnd {
+	var out []lagoon.ServerEnd
+	for _, e := range r.ends {
+		if e.Service() == service {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 // Answered reports whether any service answered the request.
@@ -128,7 +196,10 @@
 	if slices.ContainsFunc(r.answered, func(a answer) bool { return a.service == service }) {
 		return lagoon.VerdictNone
 	}
-	return r.verdict(now, func(e *lagoon.ServerEnd) bool { return !r.Answered() || e.Service() == service })
+	if r.Answered() {
+		return r.verdict(r.endsOf(service), now)
+	}
+	return r.verdict(r.ends, now)
 }
 
 // Overall returns what is known of the request at the servers of any service: whether it is a
@@ -137,7 +208,16 @@
 	if r.Answered() {
 		return lagoon.VerdictNone
 	}
-	return r.verdict(now, func(*lagoon.ServerEnd) bool { return true })
+	return r.verdict(r.ends, now)
+}
+
+// NextTry returns when a suspect that no server answered may be tried again: once the servers have
+// ended that another request is about to end.
+func (r *Record) NextTry() time.Duration {
+	if r.Answered() || len(r.ends) < manyEnds {
+		return 0
+	}
+	return r.LastEnd() + settleTime
 }
 
 // HeldFor returns for how long a deadly request is rejected.
@@ -149,21 +229,15 @@
 		return true
 	}
 	age := now - r.LastEnd()
-	return age >= forgetTime || (age >= suspectTime && !convicting(r.ends))
+	return age >= forgetTime || (age >= suspectTime && !r.convicted)
 }
 
-func (r *Record) verdict(now time.Duration, counts func(e *lagoon.ServerEnd) bool) lagoon.Verdict {
-	var ends []lagoon.ServerEnd
-	for i := range r.ends {
-		if counts(&r.ends[i]) {
-			ends = append(ends, r.ends[i])
-		}
-	}
+func (r *Record) verdict(ends []lagoon.ServerEnd, now time.Duration) lagoon.Verdict {
 	if len(ends) == 0 {
 		return lagoon.VerdictNone
 	}
 	age := now - ends[len(ends)-1].EndedAt()
-	switch deadly := convicting(ends); {
+	switch deadly := r.convicted && repeated(ends); { // that others were there too does not clear it any more
 	case deadly && age < holdTime:
 		return lagoon.VerdictDeadly
 	case age < suspectTime || (deadly && age < forgetTime):
@@ -176,17 +250,24 @@
 // deadly.
 func convicting(ends []lagoon.ServerEnd) bool {
 	alone := slices.ContainsFunc(ends, func(e lagoon.ServerEnd) bool { return !e.Shared() })
-	return alone && len(ends) >= deadlyRuns && moments(ends) >= deadlyMoments
+	return alone && repeated(ends)
+}
+
+// repeated reports whether enough servers ended, at different moments.
+func repeated(ends []lagoon.ServerEnd) bool {
+	return len(ends) >= deadlyRuns && moments(ends) >= deadlyMoments
 }
 
 // moments returns the number of moments at which servers ended. One is another than the last if
-// the server got the request only after that.
+// the server got the request only once that had settled.
 func moments(ends []lagoon.ServerEnd) int {
 	n, last := 0, time.Duration(0)
 	for i := range ends {
-		if e := &ends[i]; n == 0 || e.SentAt() >= last {
-			n, last = n+1, e.EndedAt()
+		e := &ends[i]
+		if n == 0 || e.SentAt() >= last+settleTime {
+			n++
 		}
+		last = max(last, e.EndedAt())
 	}
 	return n
 }
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -33,13 +33,14 @@
 		{"nothing", nil, "", lagoon.VerdictNone},
 		{"one server", []lagoon.ServerEnd{end("a", "1", 0, 10, false)}, "", lagoon.VerdictSuspect},
 		{"ten servers at one moment", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 0, 10, false), end("c", "3", 0, 40, false)}, "", lagoon.VerdictSuspect},
-		{"two servers, one after the other", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 12, 20, false)}, "", lagoon.VerdictSuspect},
-		{"three servers at two moments", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 0, 12, false), end("a", "3", 12, 20, false)}, "", lagoon.VerdictDeadly},
-		{"all of them under other suspects too", []lagoon.ServerEnd{end("a", "1", 0, 10, true), end("b", "2", 0, 12, true), end("a", "3", 12, 20, true)}, "", lagoon.VerdictSuspect},
-		{"one server, told three times", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "1", 12, 20, false), end("a", "1", 22, 30, false)}, "", lagoon.VerdictSuspect},
-		{"its service answers", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "2", 12, 20, false), end("a", "3", 22, 30, false)}, "a", lagoon.VerdictNone},
-		{"another service answers", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "2", 12, 20, false), end("a", "3", 22, 30, false)}, "b", lagoon.VerdictDeadly},
-		{"another service answers, and ends of others do not count", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("c", "2", 12, 20, false), end("d", "3", 22, 30, false)}, "b", lagoon.VerdictSuspect},
+		{"two servers, one after the other", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 112, 120, false)}, "", lagoon.VerdictSuspect},
+		{"three servers at two moments", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 0, 12, false), end("a", "3", 112, 120, false)}, "", lagoon.VerdictDeadly},
+		{"three servers before others have settled", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 12, 80, false), end("a", "3", 112, 120, false)}, "", lagoon.VerdictSuspect},
+		{"all of them under other suspects too", []lagoon.ServerEnd{end("a", "1", 0, 10, true), end("b", "2", 0, 12, true), end("a", "3", 112, 120, true)}, "", lagoon.VerdictSuspect},
+		{"one server, told three times", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "1", 112, 120, false), end("a", "1", 222, 230, false)}, "", lagoon.VerdictSuspect},
+		{"its service answers", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "2", 112, 120, false), end("a", "3", 222, 230, false)}, "a", lagoon.VerdictNone},
+		{"another service answers", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "2", 112, 120, false), end("a", "3", 222, 230, false)}, "b", lagoon.VerdictDeadly},
+		{"another service answers, and ends of others do not count", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("c", "2", 112, 120, false), end("d", "3", 222, 230, false)}, "b", lagoon.VerdictSuspect},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var r crash.Record
@@ -47,7 +48,10 @@
 				r.End(e)
 			}
 			if c.answered != "" {
-				r.Answer(c.answered, 100*time.Millisecond)
+				r.Answer(c.answered, 300*time.Millisecond)
+			}
+			if r.Sufficient() {
+				r.Convict()
 			}
 			if got := r.Verdict("a", time.Second); got != c.want {
 				t.Errorf("verdict: got %s, want %s", got, c.want)
@@ -61,8 +65,9 @@
 func TestVerdictExpires(t *testing.T) {
 	var r crash.Record
 	for i := range 3 {
-		r.End(end("a", fmt.Sprint(i), 20*i, 20*i+10, false))
+		r.End(end("a", fmt.Sprint(i), 200*i, 200*i+10, false))
 	}
+	r.Convict()
 	for _, c := range []struct {
 		at   time.Duration
 		want lagoon.Verdict
@@ -97,15 +102,15 @@
 	for i := range 40 {
 		r.End(end(fmt.Sprint("s", i), fmt.Sprint(i), 0, 10, false))
 	}
-	if got, most := len(r.Ends()), 8; got > most {
+	if got, most := len(r.Ends()), 16; got > most {
 		t.Errorf("ends: got %d, want at most %d", got, most)
 	}
-	if got, want := r.Overall(time.Second), lagoon.VerdictSuspect; got != want {
-		t.Errorf("verdict after one moment: got %s, want %s", got, want)
+	if got := r.Sufficient(); got {
+		t.Errorf("evidence of one moment is sufficient: got %t, want false", got)
 	}
-	r.End(end("s1", "x", 20, 30, false))
-	if got, want := r.Overall(time.Second), lagoon.VerdictDeadly; got != want {
-		t.Errorf("verdict after two moments: got %s, want %s", got, want)
+	r.End(end("s1", "x", 120, 130, false))
+	if got := r.Sufficient(); !got {
+		t.Errorf("evidence of two moments is sufficient: got %t, want true", got)
 	}
 	for i := range 1000 {
 		r.Answer(fmt.Sprint("service ", i), time.Second)
@@ -124,10 +129,10 @@
 		t.Errorf("end before the answer is news: got %t, want false", got)
 	}
 	for i := range 3 {
-		r.End(end("a", fmt.Sprint("later", i), 100+20*i, 110+20*i, false))
+		r.End(end("a", fmt.Sprint("later", i), 100+200*i, 110+200*i, false))
 	}
-	if got, want := r.Overall(time.Second), lagoon.VerdictDeadly; got != want {
-		t.Errorf("verdict: got %s, want %s", got, want)
+	if got := r.Sufficient(); !got {
+		t.Errorf("evidence after the answer is sufficient: got %t, want true", got)
 	}
 }
 
@@ -135,7 +140,7 @@
 // others.
 func TestRecordsOfNodesConverge(t *testing.T) {
 	var nodes [3]crash.Record
-	for i := range 30 {
+	for i := range 60 {
 		nodes[i%3].End(end("s", fmt.Sprint(i), 10*i, 10*i+5, false))
 	}
 	for range 10 {
@@ -158,3 +163,50 @@
 	}
 	t.Errorf("news after ten rounds: got %v and %v, want none", nodes[0].Ends(), nodes[1].Ends())
 }
+
+// Guards against a request that is blamed for servers that another one ended, and against evidence
+// that stays when the cause is known.
+func TestLikelierCauseIsBlamed(t *testing.T) {
+	var cause, beside, later crash.Record
+	for i := range 6 {
+		cause.End(end("a", fmt.Sprint("c", i), 0, 30+10*i, false))
+	}
+	for i := range 4 {
+		beside.End(end("a", fmt.Sprint("b", i), 10+20*i, 25+20*i, false))
+		later.End(end("a", fmt.Sprint("l", i), 5000+20*i, 5015+20*i, false))
+	}
+	if got := cause.Outweighs(&beside); !got {
+		t.Errorf("likelier than the one beside it: got %t, want true", got)
+	}
+	if got := beside.Outweighs(&cause) || cause.Outweighs(&later); got {
+		t.Errorf("likelier with less, or at another time: got %t, want false", got)
+	}
+	cause.Convict()
+	if got := cause.Outweighs(&beside); got {
+		t.Errorf("likelier once it is blamed: got %t, want false", got)
+	}
+	beside.Explain(&cause)
+	later.Explain(&cause)
+	if got, want := len(beside.Ends()), 0; got != want {
+		t.Errorf("ends that are explained: got %d, want %d", got, want)
+	}
+	if got, want := len(later.Ends()), 4; got != want {
+		t.Errorf("ends at another time: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a request that is deadly and becomes a suspect again, because its servers had other
+// requests as well.
+func TestVerdictStaysWhenOthersShareTheEnds(t *testing.T) {
+	var r crash.Record
+	for i := range 3 {
+		r.End(end("a", fmt.Sprint(i), 200*i, 200*i+10, false))
+	}
+	r.Convict()
+	for i := range 3 {
+		r.Share(fmt.Sprint(i), 0)
+	}
+	if got, want := r.Overall(time.Second), lagoon.VerdictDeadly; got != want {
+		t.Errorf("verdict: got %s, want %s", got, want)
+	}
+}
