Do not wait for servers to settle once eight have ended under a request

Cause: the ends of one gathered request trickle in over a tenth of a second, and each of them made the next attempt wait again. Change: a request under which eight servers have ended, at two moments, is blamed although others have not settled; innocent ones do not lose as many without an answer.

--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -34,6 +34,7 @@
 const (
 	deadlyRuns    = 3 // server runs that ended; two may be a coincidence of a crash and the retry after it
 	deadlyMoments = 2 // moments, as all servers of one moment may have had one cause
+	surelyRuns    = 8 // server runs for which others need not have settled: hardly any other request loses as many without an answer
 )
 
 // How long evidence counts.
@@ -214,7 +215,7 @@
 // NextTry returns when a suspect that no server answered may be tried again: once the servers have
 // ended that another request is about to end.
 func (r *Record) NextTry() time.Duration {
-	if r.Answered() || len(r.ends) < manyEnds {
+	if r.Answered() || len(r.ends) < manyEnds || len(r.ends) >= surelyRuns {
 		return 0
 	}
 	return r.LastEnd() + settleTime
@@ -255,12 +256,24 @@
 
 // repeated reports whether enough servers ended, at different moments.
 func repeated(ends []lagoon.ServerEnd) bool {
-	return len(ends) >= deadlyRuns && moments(ends) >= deadlyMoments
+	return (len(ends) >= deadlyRuns && settledMoments(ends) >= deadlyMoments) || (len(ends) >= surelyRuns && moments(ends) >= deadlyMoments)
 }
 
 // moments returns the number of moments at which servers ended. One is another than the last if
-// the server got the request only once that had settled.
+// the server got the request only after that.
 func moments(ends []lagoon.ServerEnd) int {
+	n, last := 0, time.Duration(0)
+	for i := range ends {
+		if e := &ends[i]; n == 0 || e.SentAt() >= last {
+			n, last = n+1, e.EndedAt()
+		}
+	}
+	return n
+}
+
+// settledMoments returns the number of moments of which each began only once the one before had
+// settled.
+func settledMoments(ends []lagoon.ServerEnd) int {
 	n, last := 0, time.Duration(0)
 	for i := range ends {
 		e := &ends[i]
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -21,6 +21,15 @@
 	return e
 }
 
+// endsAtOnce returns the ends of servers that got a request at the same time.
+func endsAtOnce(n int) []lagoon.ServerEnd {
+	var out []lagoon.ServerEnd
+	for i := range n {
+		out = append(out, end("a", fmt.Sprint("n", i), 0, 10+i, false))
+	}
+	return out
+}
+
 // Guards against a request that is blamed for what one cause may have done to several servers at
 // once, or for servers that had other suspects too, and against one that is never blamed.
 func TestVerdict(t *testing.T) {
@@ -36,6 +45,8 @@
 		{"two servers, one after the other", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 112, 120, false)}, "", lagoon.VerdictSuspect},
 		{"three servers at two moments", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 0, 12, false), end("a", "3", 112, 120, false)}, "", lagoon.VerdictDeadly},
 		{"three servers before others have settled", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("b", "2", 12, 80, false), end("a", "3", 112, 120, false)}, "", lagoon.VerdictSuspect},
+		{"eight servers, of which one was tried before others have settled", append([]lagoon.ServerEnd{end("a", "0", 12, 80, false)}, endsAtOnce(7)...), "", lagoon.VerdictDeadly},
+		{"eight servers at one moment", endsAtOnce(8), "", lagoon.VerdictSuspect},
 		{"all of them under other suspects too", []lagoon.ServerEnd{end("a", "1", 0, 10, true), end("b", "2", 0, 12, true), end("a", "3", 112, 120, true)}, "", lagoon.VerdictSuspect},
 		{"one server, told three times", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "1", 112, 120, false), end("a", "1", 222, 230, false)}, "", lagoon.VerdictSuspect},
 		{"its service answers", []lagoon.ServerEnd{end("a", "1", 0, 10, false), end("a", "2", 112, 120, false), end("a", "3", 222, 230, false)}, "a", lagoon.VerdictNone},
